--- /dev/null
+++ b/Utilities/lint.sh
@@ -0,0 +1,22 @@
+#!/usr/bin/env bash
+# Checks formatting and runs the linter over all sources but generated ones.
+#   Utilities/lint.sh [BUILD_DIR]    BUILD_DIR holds compile_commands.json
+set -eu
+cd "$(dirname "$0")/.."
+build=${1:-build}
+git ls-files -co --exclude-standard -- 'Source/*.cc' 'Source/*.h' 'Tests/*.cc' \
+  'Tests/*.h' 'Utilities/*.cc' 'Utilities/*.h' |
+  grep -vE '\.pb\.(cc|h)$' >"$build/lint-files"
+xargs clang-format --dry-run --Werror <"$build/lint-files"
+cat Utilities/wordlist.txt | while read -r word; do
+  ! grep -nwiE "$word" $(cat "$build/lint-files") || {
+    echo "the word \"$word\" is not used in code; see docs/glossary.md"
+    exit 1
+  }
+done
+grep '\.cc$' "$build/lint-files" |
+  grep -Ff <(sed -n 's/^ *"file": ".*\/\(\(Source\|Tests\|Utilities\)\/.*\)".*/\1/p' \
+    "$build/compile_commands.json") |
+  xargs -P "$(nproc)" -n 1 clang-tidy --quiet -p "$build" 2>"$build/lint-log" ||
+  { grep -E 'error' "$build/lint-log" | head; exit 1; }
+echo "lint: clean"
