--- /dev/null
+++ b/Source/execution/kept_answer.h
@@ -0,0 +1,22 @@
+#ifndef VANILLATILLER_SOURCE_EXECUTION_KEPT_ANSWER_H_
+#define VANILLATILLER_SOURCE_EXECUTION_KEPT_ANSWER_H_
+
+#include <memory>
+#include <string>
+
+#include "base/base.h"
+
+namespace vanillatiller {
+
+// An answer that is kept for a repeat or a fence. The execution library does
+// not look into `payload`.
+struct KeptAnswer {
+  Outcome outcome = Outcome::kUnknown;
+  std::string payload;
+};
+
+using KeptAnswerPtr = std::shared_ptr<const KeptAnswer>;
+
+}  // namespace vanillatiller
+
+#endif  // VANILLATILLER_SOURCE_EXECUTION_KEPT_ANSWER_H_
--- /dev/null
+++ b/Source/execution/ticket_issuer.cc
@@ -0,0 +1,144 @@
+#include "execution/ticket_issuer.h"
+
+#include <openssl/crypto.h>
+
+#include <utility>
+
+#include "absl/strings/escaping.h"
+
+namespace vanillatiller {
+namespace {
+
+constexpr char kVersion = 1;
+constexpr size_t kWordSize = 8;
+constexpr size_t kMacSize = 16;
+// Version, incarnation, sequence and expiry.
+constexpr size_t kFixedSize = 1 + 3 * kWordSize;
+constexpr size_t kMaxBytes =
+    kFixedSize + TicketIssuer::kMaxAddressSize + kMacSize;
+// Base64 needs four characters for three bytes.
+constexpr size_t kMaxTextSize = (kMaxBytes + 2) / 3 * 4;
+
+void AppendWord(uint64_t word, std::string* bytes) {
+  for (int shift = 56; shift >= 0; shift -= 8) {
+    bytes->push_back(static_cast<char>(word >> shift));
+  }
+}
+
+uint64_t ReadWord(std::string_view bytes) {
+  uint64_t word = 0;
+  for (size_t i = 0; i < kWordSize; ++i) {
+    word = word << 8 | static_cast<uint8_t>(bytes[i]);
+  }
+  return word;
+}
+
+std::string Encode(const Ticket& ticket) {
+  std::string bytes(1, kVersion);
+  AppendWord(ticket.incarnation, &bytes);
+  AppendWord(ticket.sequence, &bytes);
+  AppendWord(static_cast<uint64_t>(ticket.expiry.time_since_epoch().count()),
+             &bytes);
+  bytes += ticket.issuer;
+  return bytes;
+}
+
+std::string Mac(std::string_view key, std::string_view bytes) {
+  const Sha256Digest digest = HmacSha256(key, bytes);
+  return std::string(reinterpret_cast<const char*>(digest.data()), kMacSize);
+}
+
+// Bytes of a ticket text. Base64 has several texts for the same bytes; only the
+// one that Issue() gives is taken.
+std::optional<std::string> Decode(std::string_view text) {
+  if (text.size() > kMaxTextSize) return std::nullopt;
+  const absl::string_view view(text.data(), text.size());
+  std::string bytes;
+  if (!absl::WebSafeBase64Unescape(view, &bytes)) return std::nullopt;
+  if (bytes.size() <= kFixedSize + kMacSize || bytes.size() > kMaxBytes ||
+      bytes[0] != kVersion || absl::WebSafeBase64Escape(bytes) != view) {
+    return std::nullopt;
+  }
+  return bytes;
+}
+
+Ticket ParseBytes(std::string_view bytes) {
+  Ticket ticket;
+  ticket.incarnation = ReadWord(bytes.substr(1));
+  ticket.sequence = ReadWord(bytes.substr(1 + kWordSize));
+  ticket.expiry = TimePoint(Duration(
+      static_cast<int64_t>(ReadWord(bytes.substr(1 + 2 * kWordSize)))));
+  ticket.issuer =
+      bytes.substr(kFixedSize, bytes.size() - kFixedSize - kMacSize);
+  return ticket;
+}
+
+}  // namespace
+
+std::optional<Ticket> ReadTicket(std::string_view text, Reason* reason) {
+  const std::optional<std::string> bytes = Decode(text);
+  if (!bytes) {
+    *reason = {RefusalCode::kTicketInvalid, "the ticket is malformed"};
+    return std::nullopt;
+  }
+  return ParseBytes(*bytes);
+}
+
+std::optional<TicketIssuer> TicketIssuer::Create(std::string_view address,
+                                                 Incarnation incarnation,
+                                                 std::string_view key,
+                                                 Duration lifetime,
+                                                 Reason* reason) {
+  if (key.size() < kMinKeySize || incarnation == 0 || address.empty() ||
+      address.size() > kMaxAddressSize) {
+    *reason = {RefusalCode::kBadRequest,
+               "a ticket issuer needs an address, an incarnation and a key of "
+               "at least 16 bytes"};
+    return std::nullopt;
+  }
+  return TicketIssuer(address, incarnation, key, lifetime);
+}
+
+TicketIssuer::TicketIssuer(std::string_view address, Incarnation incarnation,
+                           std::string_view key, Duration lifetime)
+    : m_address(address),
+      m_incarnation(incarnation),
+      m_key(key),
+      m_lifetime(lifetime) {}
+
+TicketIssuer::TicketIssuer(TicketIssuer&& other) noexcept
+    : m_address(std::move(other.m_address)),
+      m_incarnation(other.m_incarnation),
+      m_key(std::move(other.m_key)),
+      m_lifetime(other.m_lifetime),
+      m_sequence(other.m_sequence.load()) {}
+
+std::string TicketIssuer::Issue(TimePoint now) {
+  Ticket ticket;
+  ticket.issuer = m_address;
+  ticket.incarnation = m_incarnation;
+  ticket.sequence = m_sequence.fetch_add(1) + 1;
+  ticket.expiry = now + m_lifetime;
+  std::string bytes = Encode(ticket);
+  bytes += Mac(m_key, bytes);
+  return absl::WebSafeBase64Escape(bytes);
+}
+
+TicketCheck TicketIssuer::Verify(std::string_view text, TimePoint now) const {
+  const std::optional<std::string> bytes = Decode(text);
+  if (!bytes) return {TicketStatus::kMalformed, {}};
+  const Ticket ticket = ParseBytes(*bytes);
+  if (ticket.issuer != m_address || ticket.incarnation != m_incarnation) {
+    return {TicketStatus::kOtherIncarnation, ticket};
+  }
+  const size_t signed_size = bytes->size() - kMacSize;
+  const std::string mac =
+      Mac(m_key, std::string_view(*bytes).substr(0, signed_size));
+  if (CRYPTO_memcmp(mac.data(), bytes->data() + signed_size, kMacSize) != 0) {
+    return {TicketStatus::kForged, ticket};
+  }
+  if (ticket.expiry < now) return {TicketStatus::kExpired, ticket};
+  return {TicketStatus::kValid, ticket};
+}
+
+}  // namespace vanillatiller
