--- a/Source/execution/execution_ledger.cc
+++ b/Source/execution/execution_ledger.cc
@@ -13,6 +13,7 @@
     case BeginResult::kFenced:
       return RefusalCode::kFenced;
     case BeginResult::kTooOld:
+    case BeginResult::kForgotten:
       return RefusalCode::kDeadlineExceeded;
     case BeginResult::kOtherIncarnation:
       return RefusalCode::kUnknownIncarnation;
@@ -22,17 +23,27 @@
   return RefusalCode::kOverload;
 }
 
+Outcome BeginOutcome(BeginResult result) {
+  const bool may_have_run = result == BeginResult::kDuplicate ||
+                            result == BeginResult::kForgotten ||
+                            result == BeginResult::kRun;
+  return may_have_run ? Outcome::kUnknown : Outcome::kNotRun;
+}
+
 BeginResult ExecutionLedger::Begin(const CallId& call, Incarnation callee,
                                    TimePoint deadline, TimePoint now) {
   if (callee != m_settings.incarnation) return BeginResult::kOtherIncarnation;
-  if (deadline <= now || deadline > now + m_settings.max_time_left) {
-    return BeginResult::kTooOld;
-  }
+  // A copy is known by its record first: that its deadline has passed does not
+  // prove that the call has not run.
   const auto found = m_records.find(call);
   if (found != m_records.end()) {
     const bool is_fenced = found->second.state == State::kFenced;
     return is_fenced ? BeginResult::kFenced : BeginResult::kDuplicate;
   }
+  if (deadline < now - m_settings.margin) return BeginResult::kForgotten;
+  if (deadline <= now || deadline > now + m_settings.max_time_left) {
+    return BeginResult::kTooOld;
+  }
   Expire(now);
   if (m_records.size() >= m_settings.max_records ||
       m_bytes >= m_settings.max_bytes) {
--- a/Source/execution/execution_ledger.h
+++ b/Source/execution/execution_ledger.h
@@ -33,15 +33,22 @@
   kFenced,
   // The deadline has passed, or lies too far ahead.
   kTooOld,
+  // The deadline passed so long ago that a record may have been dropped.
+  kForgotten,
   kOtherIncarnation,
   // No room for a record.
   kFull,
 };
 
-// Refusal to answer with; kNone for kRun. Except for kDuplicate each one is a
-// proof that the call has not run and will not run.
+// Refusal to answer with; kNone for kRun.
 RefusalCode BeginRefusal(BeginResult result);
 
+// Outcome to answer with: kUnknown where another copy of the call may have run,
+// kNotRun for the other refusals. They are proofs because the transport
+// delivers the message of a call at most once (one RPC on one TCP connection,
+// without retries of the RPC library).
+Outcome BeginOutcome(BeginResult result);
+
 enum class FenceState : uint8_t {
   // The call finished; the answer is attached.
   kAnswered,
--- a/Tests/execution_test.cc
+++ b/Tests/execution_test.cc
@@ -184,10 +184,12 @@
       ledger.Fence(kCall, kIncarnation, kDeadline, kDeadline + seconds(10));
   BOOST_TEST((result.state == FenceState::kAnswered));
   BOOST_TEST(result.answer->payload == "answer");
-  BOOST_TEST((Begin(ledger, kDeadline) == BeginResult::kTooOld));
+  BOOST_TEST((Begin(ledger, kDeadline) == BeginResult::kDuplicate));
   BOOST_TEST((Fence(ledger, kDeadline + seconds(11)) == FenceState::kAnswered));
   ledger.Expire(kDeadline + seconds(11));
   BOOST_TEST((Fence(ledger, kDeadline + seconds(11)) == FenceState::kUnknown));
+  BOOST_TEST(
+      (Begin(ledger, kDeadline + seconds(11)) == BeginResult::kForgotten));
   BOOST_TEST(ledger.KeptBytes() == 0U);
 }
 
@@ -237,13 +239,17 @@
               FenceState::kUnknown));
 }
 
-// Guards against a proof of "not run" that is no proof: every refusal but the
-// one of a copy.
+// Guards against "not run" for a copy of a call that may have run.
 BOOST_AUTO_TEST_CASE(RefusalsOfBegin) {
-  BOOST_TEST((BeginRefusal(BeginResult::kRun) == RefusalCode::kNone));
-  BOOST_TEST(
-      (BeginRefusal(BeginResult::kDuplicate) == RefusalCode::kDuplicateCall));
+  for (const BeginResult result :
+       {BeginResult::kFenced, BeginResult::kTooOld, BeginResult::kFull,
+        BeginResult::kOtherIncarnation}) {
+    BOOST_TEST((BeginOutcome(result) == Outcome::kNotRun));
+  }
+  BOOST_TEST((BeginOutcome(BeginResult::kDuplicate) == Outcome::kUnknown));
+  BOOST_TEST((BeginOutcome(BeginResult::kForgotten) == Outcome::kUnknown));
   BOOST_TEST((BeginRefusal(BeginResult::kFenced) == RefusalCode::kFenced));
+  BOOST_TEST((BeginRefusal(BeginResult::kRun) == RefusalCode::kNone));
 }
 
 // Guards against an estimate above the peer's clock, which would let an old
