--- /dev/null
+++ b/Source/admission/admission.h
@@ -0,0 +1,137 @@
+#ifndef VANILLATILLER_SOURCE_ADMISSION_ADMISSION_H_
+#define VANILLATILLER_SOURCE_ADMISSION_ADMISSION_H_
+
+// Public header of the admission library: which calls one backend server gets,
+// in which order, and which are refused.
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "admission/admission_threshold.h"  // IWYU pragma: export
+#include "admission/threshold_table.h"      // IWYU pragma: export
+#include "admission/work.h"                 // IWYU pragma: export
+#include "base/base.h"
+
+namespace vanillatiller {
+
+enum class AdmissionPolicy : uint8_t {
+  // Adaptive limit, ranked queue and thresholds.
+  kAdaptive = 1,
+  // The declared slots and a first-come queue without ranks; a baseline.
+  kFixed = 2,
+  // No limit; a baseline.
+  kNone = 3,
+};
+
+// "adaptive", "fixed" or "none"; nullopt for anything else.
+std::optional<AdmissionPolicy> ParseAdmissionPolicy(std::string_view name);
+
+struct TenantWeight {
+  std::string tenant;
+  uint32_t weight = 1;
+};
+
+struct AdmissionSettings {
+  AdmissionPolicy policy = AdmissionPolicy::kAdaptive;
+  // Concurrent calls that the backend server declares to take.
+  uint32_t slots = 1;
+  // Calls that may wait; 0 means as many as there are slots, at least 16.
+  uint32_t queue_bound = 0;
+  // Standing queue delay above which thresholds fall.
+  Duration target_queue_delay = std::chrono::milliseconds(5);
+  // Longest wait of work that is not protected.
+  Duration max_queue_wait = std::chrono::milliseconds(100);
+  // Tenants without an entry have weight 1.
+  std::vector<TenantWeight> tenant_weights;
+};
+
+// Counters since construction and present state, for metrics and reports.
+struct AdmissionState {
+  uint32_t in_flight = 0;
+  uint32_t queued = 0;
+  uint32_t limit = 0;
+  bool is_overloaded = false;
+  uint64_t offered = 0;
+  uint64_t dispatched = 0;
+  uint64_t refused_overload = 0;
+  uint64_t refused_threshold = 0;
+  uint64_t refused_deadline = 0;
+  uint64_t cancelled = 0;
+  uint64_t shed_by_backend = 0;
+};
+
+// Admission control of one backend server. Each event appends its actions; the
+// caller carries them out. Not thread-safe: callers hold one lock per event,
+// and carry out actions after they release it.
+class Admission {
+ public:
+  // Checks settings; all findings are reported together.
+  class Builder {
+   public:
+    Builder& SetSlots(uint32_t slots);
+    Builder& SetQueueBound(uint32_t calls);
+    Builder& SetTargetQueueDelay(Duration delay);
+    Builder& SetMaxQueueWait(Duration wait);
+    Builder& SetPolicy(AdmissionPolicy policy);
+    // Takes "adaptive", "fixed" or "none".
+    Builder& SetPolicyName(std::string_view name);
+    Builder& AddTenant(std::string_view tenant, uint32_t weight);
+
+    // Nullptr if there are findings.
+    std::unique_ptr<Admission> Build(TimePoint now, Findings* findings) const;
+
+   private:
+    AdmissionSettings m_settings;
+    std::string m_unknown_policy;
+  };
+
+  ~Admission();
+  Admission(const Admission&) = delete;
+  Admission& operator=(const Admission&) = delete;
+
+  void Offer(const Work& work, TimePoint now, AdmissionActions* actions);
+
+  // A dispatched call ended. Unknown identities are ignored.
+  void OnFinished(WorkId id, const BackendResult& result, TimePoint now,
+                  AdmissionActions* actions);
+
+  // The caller gave up. A queued call is refused with kCancelled; a running one
+  // keeps its slot until OnFinished.
+  void OnCancelled(WorkId id, TimePoint now, AdmissionActions* actions);
+
+  // To be called every 5 to 20 ms.
+  void OnTick(TimePoint now, AdmissionActions* actions);
+
+  // The backend server was started anew: its limit ramps up again.
+  void OnBackendRestarted(TimePoint now);
+
+  // Refuses all queued calls with `code`, for a node that is leaving.
+  void RefuseQueued(RefusalCode code, TimePoint now, AdmissionActions* actions);
+
+  // The configuration changed. Calls that are queued keep their order.
+  void SetSlots(uint32_t slots);
+  void SetTenantWeights(const std::vector<TenantWeight>& weights);
+
+  // Threshold for calls of this rank, tenant and method, for LoadReport.
+  AdmissionThreshold ThresholdFor(uint32_t rank, std::string_view tenant,
+                                  std::string_view method) const;
+
+  AdmissionState State() const;
+
+ private:
+  struct Parts;
+
+  explicit Admission(std::unique_ptr<Parts> parts);
+
+  std::unique_ptr<Parts> m_parts;
+};
+
+}  // namespace vanillatiller
+
+#endif  // VANILLATILLER_SOURCE_ADMISSION_ADMISSION_H_
