--- /dev/null
+++ b/Source/admission/admission.cc
@@ -0,0 +1,468 @@
+#include "admission/admission.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "admission/concurrency_limit.h"
+#include "admission/flow_table.h"
+#include "admission/threshold_controller.h"
+#include "admission/work_queue.h"
+
+namespace vanillatiller {
+namespace {
+
+constexpr Duration kWindow = std::chrono::milliseconds(100);
+// Ticks come every few milliseconds; a longer silence means that the process
+// did not run.
+constexpr Duration kPause = std::chrono::milliseconds(500);
+constexpr uint32_t kMinQueueBound = 16;
+constexpr uint32_t kUnlimited = UINT32_MAX;
+constexpr uint32_t kMaxSlots = 1'000'000;
+
+// What distinguishes the policies.
+struct PolicyTraits {
+  bool has_limit = true;
+  bool is_adaptive = true;
+  bool is_ranked = true;
+};
+
+PolicyTraits TraitsOf(AdmissionPolicy policy) {
+  switch (policy) {
+    case AdmissionPolicy::kFixed:
+      return {true, false, false};
+    case AdmissionPolicy::kNone:
+      return {false, false, false};
+    case AdmissionPolicy::kAdaptive:
+      break;
+  }
+  return {};
+}
+
+struct Running {
+  TimePoint dispatched;
+  FlowIndex flow = 0;
+};
+
+}  // namespace
+
+std::optional<AdmissionPolicy> ParseAdmissionPolicy(std::string_view name) {
+  if (name == "adaptive") return AdmissionPolicy::kAdaptive;
+  if (name == "fixed") return AdmissionPolicy::kFixed;
+  if (name == "none") return AdmissionPolicy::kNone;
+  return std::nullopt;
+}
+
+struct Admission::Parts {
+  Parts(const AdmissionSettings& wanted, TimePoint now)
+      : settings(wanted),
+        traits(TraitsOf(wanted.policy)),
+        limit(wanted.slots),
+        thresholds(wanted.target_queue_delay),
+        last_event(now),
+        window_start(now),
+        valid_from(now) {
+    for (const TenantWeight& item : wanted.tenant_weights) {
+      flows.SetTenantWeight(item.tenant, item.weight);
+    }
+  }
+
+  uint32_t Limit() const;
+  uint32_t QueueBound() const;
+  uint32_t InFlight() const { return static_cast<uint32_t>(running.size()); }
+  bool HasSlot() const { return InFlight() < Limit(); }
+
+  void NoteTime(TimePoint now);
+  void EndWindow(TimePoint now);
+  FlowIndex FlowOf(const Work& work);
+  QueuedWork MakeQueued(const Work& work, FlowIndex flow, TimePoint now);
+  FlowStanding StandingOf(const Flow& flow) const;
+  RefusalCode CheckOffer(const Work& work, const QueuedWork& queued,
+                         TimePoint now);
+  bool CanFinish(const Work& work, const QueuedWork& queued,
+                 TimePoint now) const;
+  void Enqueue(const QueuedWork& queued, TimePoint now,
+               AdmissionActions* actions);
+  void Start(const QueuedWork& queued, TimePoint now,
+             AdmissionActions* actions);
+  void Reject(const QueuedWork& queued, RefusalCode code, TimePoint now,
+              AdmissionActions* actions);
+  void RefuseExpired(TimePoint now, AdmissionActions* actions);
+  void Fill(TimePoint now, AdmissionActions* actions);
+  void Learn(const Running& call, const BackendResult& result, TimePoint now);
+  void CountRefusal(RefusalCode code);
+
+  AdmissionSettings settings;
+  PolicyTraits traits;
+  ConcurrencyLimit limit;
+  FlowTable flows;
+  WorkQueue queue;
+  ThresholdController thresholds;
+  absl::flat_hash_map<WorkId, Running> running;
+  AdmissionState counters;
+  uint64_t sequence = 0;
+  TimePoint last_event;
+  // Measurement window.
+  TimePoint window_start;
+  // Slots held, integrated over the window, in seconds.
+  double held_seconds = 0;
+  uint32_t smallest_queue = 0;
+  bool was_limit_reached = false;
+  // Calls dispatched earlier give no measurements: a pause fell into them.
+  TimePoint valid_from;
+};
+
+uint32_t Admission::Parts::Limit() const {
+  if (!traits.has_limit) return kUnlimited;
+  return traits.is_adaptive ? limit.Current() : settings.slots;
+}
+
+uint32_t Admission::Parts::QueueBound() const {
+  if (settings.queue_bound > 0) return settings.queue_bound;
+  return std::max(settings.slots, kMinQueueBound);
+}
+
+void Admission::Parts::NoteTime(TimePoint now) {
+  const Duration passed = now - last_event;
+  if (passed <= Duration::zero()) return;
+  last_event = now;
+  if (passed > kPause) {
+    valid_from = now;
+    window_start = now;
+    held_seconds = 0;
+    smallest_queue = queue.size();
+    was_limit_reached = false;
+    return;
+  }
+  held_seconds += std::chrono::duration<double>(passed).count() * InFlight();
+  if (now - window_start >= kWindow) EndWindow(now);
+}
+
+void Admission::Parts::EndWindow(TimePoint now) {
+  const Duration length = now - window_start;
+  const double seconds = std::chrono::duration<double>(length).count();
+  WindowReport report;
+  report.length = length;
+  report.limit = Limit();
+  report.utilization = held_seconds / seconds / report.limit;
+  report.standing_queue = smallest_queue;
+  if (traits.is_adaptive) {
+    limit.OnWindow(was_limit_reached, now);
+    thresholds.OnWindow(report, &flows);
+  }
+  for (ServiceTime& item : flows.ServiceTimes()) {
+    item.OnWindow(was_limit_reached);
+  }
+  window_start = now;
+  held_seconds = 0;
+  smallest_queue = queue.size();
+  was_limit_reached = !queue.empty();
+}
+
+FlowIndex Admission::Parts::FlowOf(const Work& work) {
+  if (!traits.is_ranked) return flows.Intern(0, {}, {});
+  return flows.Intern(OrderClass(work.rank, work.is_nested), work.tenant,
+                      work.method);
+}
+
+QueuedWork Admission::Parts::MakeQueued(const Work& work, FlowIndex flow,
+                                        TimePoint now) {
+  ++sequence;
+  QueuedWork queued;
+  queued.id = work.id;
+  queued.offered = now;
+  queued.flow = flow;
+  queued.order_class = flows.At(flow).order_class;
+  queued.expires = work.deadline;
+  queued.position = sequence;
+  if (!traits.is_ranked) return queued;
+  // Calls of one hash keep their order of arrival.
+  queued.position =
+      (uint64_t{work.shed_hash} << 32) | static_cast<uint32_t>(sequence);
+  queued.expires -= flows.ServiceTimeOf(flows.At(flow)).Hold();
+  const TimePoint longest_wait = now + settings.max_queue_wait;
+  if (!work.is_protected && longest_wait < queued.expires) {
+    queued.expires = longest_wait;
+    queued.expiry_code = RefusalCode::kOverload;
+  }
+  return queued;
+}
+
+FlowStanding Admission::Parts::StandingOf(const Flow& flow) const {
+  const Duration hold = flows.ServiceTimeOf(flow).Hold();
+  return {flow.tenant, flows.TenantWeight(flow.tenant),
+          std::chrono::duration<double>(hold).count()};
+}
+
+// Least time that the calls ahead take, plus the call's own.
+bool Admission::Parts::CanFinish(const Work& work, const QueuedWork& queued,
+                                 TimePoint now) const {
+  if (work.deadline <= now) return false;
+  if (!traits.is_ranked) return true;
+  const Duration hold = flows.ServiceTimeOf(flows.At(queued.flow)).Hold();
+  const uint32_t ahead =
+      queue.CountAhead(queued.order_class, queued.flow, queued.position);
+  const Duration wait = hold * (ahead / Limit());
+  return now + wait + hold <= work.deadline;
+}
+
+RefusalCode Admission::Parts::CheckOffer(const Work& work,
+                                         const QueuedWork& queued,
+                                         TimePoint now) {
+  Flow& flow = flows.At(queued.flow);
+  if (traits.is_ranked) thresholds.OnArrival(&flow, work.shed_hash);
+  if (!CanFinish(work, queued, now)) {
+    flows.ServiceTimeOf(flow).NoteRefused();
+    return RefusalCode::kDeadlineExceeded;
+  }
+  if (!traits.is_ranked) return RefusalCode::kNone;
+  // Free slots are used in any case: unused capacity helps no one.
+  if (queue.empty() && HasSlot()) return RefusalCode::kNone;
+  if (!thresholds.ThresholdOf(flow).Admits(work.rank, work.shed_hash)) {
+    return RefusalCode::kBelowThreshold;
+  }
+  return RefusalCode::kNone;
+}
+
+void Admission::Parts::Enqueue(const QueuedWork& queued, TimePoint now,
+                               AdmissionActions* actions) {
+  RefuseExpired(now, actions);
+  if (queue.empty() && HasSlot()) return Start(queued, now, actions);
+  was_limit_reached = true;
+  queue.Insert(queued, StandingOf(flows.At(queued.flow)));
+  Fill(now, actions);
+  while (queue.size() > QueueBound()) {
+    Reject(*queue.PopLast(), RefusalCode::kOverload, now, actions);
+  }
+}
+
+void Admission::Parts::Start(const QueuedWork& queued, TimePoint now,
+                             AdmissionActions* actions) {
+  running[queued.id] = {now, queued.flow};
+  ++counters.dispatched;
+  actions->push_back(Dispatch{queued.id, now - queued.offered});
+}
+
+void Admission::Parts::Reject(const QueuedWork& queued, RefusalCode code,
+                              TimePoint now, AdmissionActions* actions) {
+  CountRefusal(code);
+  const auto threshold = thresholds.ThresholdOf(flows.At(queued.flow));
+  actions->push_back(Refuse{queued.id, code, threshold, now - queued.offered});
+}
+
+void Admission::Parts::CountRefusal(RefusalCode code) {
+  switch (code) {
+    case RefusalCode::kBelowThreshold:
+      ++counters.refused_threshold;
+      break;
+    case RefusalCode::kDeadlineExceeded:
+      ++counters.refused_deadline;
+      break;
+    case RefusalCode::kCancelled:
+      ++counters.cancelled;
+      break;
+    default:
+      ++counters.refused_overload;
+      break;
+  }
+}
+
+void Admission::Parts::RefuseExpired(TimePoint now, AdmissionActions* actions) {
+  while (const auto expired = queue.PopExpired(now)) {
+    Reject(*expired, expired->expiry_code, now, actions);
+  }
+}
+
+void Admission::Parts::Fill(TimePoint now, AdmissionActions* actions) {
+  while (HasSlot()) {
+    const auto next = queue.PopFirst();
+    if (!next) break;
+    Start(*next, now, actions);
+  }
+  smallest_queue = std::min(smallest_queue, queue.size());
+}
+
+void Admission::Parts::Learn(const Running& call, const BackendResult& result,
+                             TimePoint now) {
+  if (result.outcome == BackendOutcome::kShed) {
+    ++counters.shed_by_backend;
+    // The call itself was taken out already.
+    limit.OnShed(InFlight() + 1, call.dispatched, now);
+    return;
+  }
+  if (call.dispatched < valid_from) return;
+  const Duration hold = now - call.dispatched;
+  ServiceTime& estimate = flows.ServiceTimeOf(flows.At(call.flow));
+  if (result.outcome == BackendOutcome::kFailed) {
+    estimate.AddAtLeast(hold);
+    return;
+  }
+  estimate.Add(hold, result.latency);
+  limit.OnLatency(estimate.Slowdown(result.latency), call.dispatched, now);
+}
+
+Admission::Builder& Admission::Builder::SetSlots(uint32_t slots) {
+  m_settings.slots = slots;
+  return *this;
+}
+
+Admission::Builder& Admission::Builder::SetQueueBound(uint32_t calls) {
+  m_settings.queue_bound = calls;
+  return *this;
+}
+
+Admission::Builder& Admission::Builder::SetTargetQueueDelay(Duration delay) {
+  m_settings.target_queue_delay = delay;
+  return *this;
+}
+
+Admission::Builder& Admission::Builder::SetMaxQueueWait(Duration wait) {
+  m_settings.max_queue_wait = wait;
+  return *this;
+}
+
+Admission::Builder& Admission::Builder::SetPolicy(AdmissionPolicy policy) {
+  m_settings.policy = policy;
+  return *this;
+}
+
+Admission::Builder& Admission::Builder::SetPolicyName(std::string_view name) {
+  const auto policy = ParseAdmissionPolicy(name);
+  if (policy) {
+    m_settings.policy = *policy;
+  } else {
+    m_unknown_policy = name;
+  }
+  return *this;
+}
+
+Admission::Builder& Admission::Builder::AddTenant(std::string_view tenant,
+                                                  uint32_t weight) {
+  m_settings.tenant_weights.push_back({std::string(tenant), weight});
+  return *this;
+}
+
+std::unique_ptr<Admission> Admission::Builder::Build(TimePoint now,
+                                                     Findings* findings) const {
+  const size_t before = findings->size();
+  const auto report = [findings](std::string text) {
+    findings->push_back({"admission", 0, 0, std::move(text)});
+  };
+  if (m_settings.slots == 0 || m_settings.slots > kMaxSlots) {
+    report(absl::StrCat("slots must be from 1 to ", kMaxSlots, ", not ",
+                        m_settings.slots));
+  }
+  if (m_settings.target_queue_delay <= Duration::zero()) {
+    report("the target queue delay must be above zero");
+  }
+  if (m_settings.max_queue_wait < m_settings.target_queue_delay) {
+    report("the longest queue wait must not be below the target queue delay");
+  }
+  if (!m_unknown_policy.empty()) {
+    report(absl::StrCat("unknown policy \"", m_unknown_policy,
+                        "\"; expected adaptive, fixed or none"));
+  }
+  for (const TenantWeight& item : m_settings.tenant_weights) {
+    if (item.weight > 0) continue;
+    report(absl::StrCat("the weight of tenant \"", item.tenant,
+                        "\" must be above zero"));
+  }
+  if (findings->size() > before) return nullptr;
+  return std::unique_ptr<Admission>(
+      new Admission(std::make_unique<Parts>(m_settings, now)));
+}
+
+Admission::Admission(std::unique_ptr<Parts> parts)
+    : m_parts(std::move(parts)) {}
+
+Admission::~Admission() = default;
+
+void Admission::Offer(const Work& work, TimePoint now,
+                      AdmissionActions* actions) {
+  Parts& parts = *m_parts;
+  parts.NoteTime(now);
+  ++parts.counters.offered;
+  if (parts.queue.Contains(work.id) || parts.running.contains(work.id)) {
+    ++parts.counters.refused_overload;
+    actions->push_back(Refuse{work.id, RefusalCode::kDuplicateCall, {}, {}});
+    return;
+  }
+  const QueuedWork queued = parts.MakeQueued(work, parts.FlowOf(work), now);
+  const RefusalCode code = parts.CheckOffer(work, queued, now);
+  if (code != RefusalCode::kNone) {
+    return parts.Reject(queued, code, now, actions);
+  }
+  parts.Enqueue(queued, now, actions);
+}
+
+void Admission::OnFinished(WorkId id, const BackendResult& result,
+                           TimePoint now, AdmissionActions* actions) {
+  Parts& parts = *m_parts;
+  parts.NoteTime(now);
+  const auto found = parts.running.find(id);
+  if (found == parts.running.end()) return;
+  const Running call = found->second;
+  parts.running.erase(found);
+  parts.Learn(call, result, now);
+  parts.RefuseExpired(now, actions);
+  parts.Fill(now, actions);
+}
+
+void Admission::OnCancelled(WorkId id, TimePoint now,
+                            AdmissionActions* actions) {
+  Parts& parts = *m_parts;
+  parts.NoteTime(now);
+  const auto removed = parts.queue.Remove(id);
+  if (!removed) return;
+  parts.Reject(*removed, RefusalCode::kCancelled, now, actions);
+  parts.smallest_queue = std::min(parts.smallest_queue, parts.queue.size());
+}
+
+void Admission::OnTick(TimePoint now, AdmissionActions* actions) {
+  Parts& parts = *m_parts;
+  parts.NoteTime(now);
+  parts.RefuseExpired(now, actions);
+  parts.Fill(now, actions);
+}
+
+void Admission::OnBackendRestarted(TimePoint now) {
+  m_parts->limit.StartCold(now);
+}
+
+void Admission::RefuseQueued(RefusalCode code, TimePoint now,
+                             AdmissionActions* actions) {
+  while (const auto next = m_parts->queue.PopFirst()) {
+    m_parts->Reject(*next, code, now, actions);
+  }
+}
+
+void Admission::SetSlots(uint32_t slots) {
+  m_parts->settings.slots = std::clamp(slots, 1U, kMaxSlots);
+  m_parts->limit.SetSlots(m_parts->settings.slots);
+}
+
+void Admission::SetTenantWeights(const std::vector<TenantWeight>& weights) {
+  for (const TenantWeight& item : weights) {
+    m_parts->flows.SetTenantWeight(item.tenant, item.weight);
+  }
+}
+
+AdmissionThreshold Admission::ThresholdFor(uint32_t rank, bool is_nested,
+                                           std::string_view tenant,
+                                           std::string_view method) const {
+  const Flow* flow =
+      m_parts->flows.Find(OrderClass(rank, is_nested), tenant, method);
+  if (flow == nullptr) return {};
+  return m_parts->thresholds.ThresholdOf(*flow);
+}
+
+AdmissionState Admission::State() const {
+  AdmissionState state = m_parts->counters;
+  state.in_flight = m_parts->InFlight();
+  state.queued = m_parts->queue.size();
+  state.limit = m_parts->Limit();
+  state.is_overloaded = m_parts->thresholds.IsOverloaded();
+  return state;
+}
+
+}  // namespace vanillatiller
--- a/Source/admission/admission.h
+++ b/Source/admission/admission.h
@@ -119,7 +119,8 @@
   void SetTenantWeights(const std::vector<TenantWeight>& weights);
 
   // Threshold for calls of this rank, tenant and method, for LoadReport.
-  AdmissionThreshold ThresholdFor(uint32_t rank, std::string_view tenant,
+  AdmissionThreshold ThresholdFor(uint32_t rank, bool is_nested,
+                                  std::string_view tenant,
                                   std::string_view method) const;
 
   AdmissionState State() const;
--- /dev/null
+++ b/Source/admission/concurrency_limit.cc
@@ -0,0 +1,162 @@
+#include "admission/concurrency_limit.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+
+namespace vanillatiller {
+namespace {
+
+// Fewer samples than this say too little of the mean latency.
+constexpr uint32_t kMinSamples = 16;
+// Mean latency over the accepted one that starts a trial.
+constexpr double kSlowdownTrigger = 2.0;
+// A trial lowers the limit to this part.
+constexpr double kTrialFactor = 0.8;
+// Smallest d(log latency) / d(log limit) at which a lower limit is kept: 1
+// means that the lost concurrency was only waiting, 0 that it was useful.
+constexpr double kKeptElasticity = 0.5;
+constexpr Duration kMaxTrial = std::chrono::seconds(5);
+// How long an uncured slowdown is accepted before the next trial.
+constexpr Duration kAcceptance = std::chrono::seconds(10);
+// Growth for each window: below the known bound by a part of the limit, beyond
+// it by a part of the slots, in calls at least.
+constexpr double kFastGrowth = 0.05;
+constexpr double kFastGrowthCalls = 1.0;
+constexpr double kSlowGrowth = 0.002;
+constexpr double kSlowGrowthCalls = 0.05;
+// A refusal by the backend server lowers the limit to this part of what it
+// held, and marks a bound a little below what it held.
+constexpr double kShedFactor = 0.9;
+constexpr double kShedBoundFactor = 0.97;
+constexpr double kColdStartPart = 0.25;
+constexpr double kRampFactor = 1.5;
+constexpr double kSlowRampFactor = 1.1;
+
+}  // namespace
+
+ConcurrencyLimit::ConcurrencyLimit(uint32_t slots)
+    : m_slots(std::max(slots, 1U)), m_limit(m_slots), m_known_bound(m_slots) {}
+
+uint32_t ConcurrencyLimit::Current() const {
+  return static_cast<uint32_t>(std::clamp(m_limit, 1.0, m_slots));
+}
+
+void ConcurrencyLimit::OnLatency(double slowdown, TimePoint dispatched,
+                                 TimePoint now) {
+  if (dispatched < m_samples_from) return;
+  if (m_phase == Phase::kTrialSettling) {
+    // This call waited behind calls from before the decrease; the ones
+    // dispatched from now on do not.
+    m_samples_from = now;
+    m_phase = Phase::kTrialMeasuring;
+    return;
+  }
+  m_slowdown_sum += slowdown;
+  ++m_samples;
+}
+
+void ConcurrencyLimit::OnShed(uint32_t in_flight, TimePoint dispatched,
+                              TimePoint now) {
+  if (dispatched < m_last_shed) return;
+  const double held = std::min(m_limit, static_cast<double>(in_flight));
+  m_last_shed = now;
+  m_known_bound = std::max(1.0, held * kShedBoundFactor);
+  m_limit = std::max(1.0, held * kShedFactor);
+  m_phase = Phase::kSteady;
+  ResetSamples();
+}
+
+void ConcurrencyLimit::OnWindow(bool was_reached, TimePoint now) {
+  const bool is_trial =
+      m_phase == Phase::kTrialSettling || m_phase == Phase::kTrialMeasuring;
+  if (is_trial && now - m_trial_started > kMaxTrial) return EndTrial(now);
+  if (now >= m_accepted_until) m_accepted_slowdown = 1;
+  if (m_samples < kMinSamples) {
+    if (was_reached && m_phase == Phase::kSteady) Grow();
+    return;
+  }
+  const double slowdown = m_slowdown_sum / m_samples;
+  ResetSamples();
+  if (m_phase == Phase::kTrialMeasuring) return JudgeTrial(slowdown, now);
+  if (!was_reached) return;
+  if (m_phase == Phase::kRamp) return Ramp(slowdown);
+  if (slowdown > kSlowdownTrigger * m_accepted_slowdown && m_limit >= 2) {
+    return StartTrial(slowdown, now);
+  }
+  Grow();
+}
+
+void ConcurrencyLimit::Grow() {
+  const double fast = std::max(kFastGrowthCalls, kFastGrowth * m_limit);
+  const double slow = std::max(kSlowGrowthCalls, kSlowGrowth * m_slots);
+  if (m_limit + fast <= m_known_bound) {
+    m_limit += fast;
+  } else {
+    m_limit = std::max(m_limit, std::min(m_known_bound, m_limit + fast)) + slow;
+    m_known_bound = std::max(m_known_bound, m_limit);
+  }
+  m_limit = std::min(m_limit, m_slots);
+  m_known_bound = std::min(m_known_bound, m_slots);
+}
+
+void ConcurrencyLimit::Ramp(double slowdown) {
+  const bool is_slow = slowdown > kSlowdownTrigger;
+  m_limit = std::min(m_slots,
+                     m_limit * (is_slow ? kSlowRampFactor : kRampFactor) + 1);
+  if (m_limit >= m_slots) m_phase = Phase::kSteady;
+}
+
+void ConcurrencyLimit::StartTrial(double slowdown, TimePoint now) {
+  m_limit_before_trial = m_limit;
+  m_slowdown_before_trial = slowdown;
+  m_limit = std::max(1.0, m_limit * kTrialFactor);
+  m_trial_started = now;
+  m_samples_from = now;
+  m_phase = Phase::kTrialSettling;
+}
+
+void ConcurrencyLimit::JudgeTrial(double slowdown, TimePoint now) {
+  const double latency_change = std::log(m_slowdown_before_trial / slowdown);
+  const double limit_change = std::log(m_limit_before_trial / m_limit);
+  if (latency_change < kKeptElasticity * limit_change) {
+    m_accepted_slowdown = std::max(slowdown, m_slowdown_before_trial);
+    m_accepted_until = now + kAcceptance;
+    return EndTrial(now);
+  }
+  m_known_bound = m_limit;
+  m_phase = Phase::kSteady;
+}
+
+void ConcurrencyLimit::EndTrial(TimePoint now) {
+  m_limit = std::min(m_limit_before_trial, m_slots);
+  m_samples_from = now;
+  m_phase = Phase::kSteady;
+  ResetSamples();
+}
+
+void ConcurrencyLimit::ResetSamples() {
+  m_slowdown_sum = 0;
+  m_samples = 0;
+}
+
+void ConcurrencyLimit::StartCold(TimePoint now) {
+  m_limit = std::max(1.0, m_slots * kColdStartPart);
+  m_known_bound = m_slots;
+  m_accepted_slowdown = 1;
+  m_samples_from = now;
+  m_phase = Phase::kRamp;
+  ResetSamples();
+}
+
+void ConcurrencyLimit::SetSlots(uint32_t slots) {
+  const double new_slots = std::max(slots, 1U);
+  if (new_slots == m_slots) return;
+  const double scale = new_slots / m_slots;
+  m_slots = new_slots;
+  m_limit = std::clamp(m_limit * scale, 1.0, m_slots);
+  m_limit_before_trial = std::min(m_limit_before_trial * scale, m_slots);
+  m_known_bound = std::clamp(m_known_bound * scale, 1.0, m_slots);
+}
+
+}  // namespace vanillatiller
--- a/Source/admission/concurrency_limit.h
+++ b/Source/admission/concurrency_limit.h
@@ -22,17 +22,17 @@
   // The present bound, in [1, slots].
   uint32_t Current() const;
 
-  // `slowdown` is the latency of one call relative to the usual latency of its
-  // method; `in_flight` counts the calls held with it.
-  void OnLatency(double slowdown, uint32_t in_flight);
+  // A call dispatched at `dispatched` took `slowdown` times the usual latency
+  // of its method.
+  void OnLatency(double slowdown, TimePoint dispatched, TimePoint now);
 
   // The backend server refused a call while it held `in_flight` calls, the
-  // refused one included. All refusals of calls that were dispatched before
-  // the last decrease count as one.
+  // refused one included. Refusals of calls that were dispatched before the
+  // last decrease belong to that decrease and are ignored.
   void OnShed(uint32_t in_flight, TimePoint dispatched, TimePoint now);
 
   // Adjusts the bound; called at the end of each measurement window.
-  // `was_reached` tells whether calls waited for a slot in it.
+  // `was_reached` tells whether the bound held calls back in it.
   void OnWindow(bool was_reached, TimePoint now);
 
   // Starts low and ramps up: the backend server was started anew.
@@ -42,30 +42,42 @@
   void SetSlots(uint32_t slots);
 
  private:
-  // What the limit does about latency.
-  enum class Phase : uint8_t { kSteady = 1, kTrial = 2, kRamp = 3 };
+  enum class Phase : uint8_t {
+    // Grows while the bound is reached.
+    kSteady = 1,
+    // Grows fast, after a cold start.
+    kRamp = 2,
+    // Lowered for a test; calls from before the decrease still run.
+    kTrialSettling = 3,
+    // Lowered for a test; latency is measured.
+    kTrialMeasuring = 4,
+  };
 
-  void Grow(TimePoint now);
-  void StartTrial(double slowdown);
+  void Grow();
+  void Ramp(double slowdown);
+  void StartTrial(double slowdown, TimePoint now);
   void JudgeTrial(double slowdown, TimePoint now);
-  void Clamp();
+  void EndTrial(TimePoint now);
+  void ResetSamples();
 
   double m_slots;
   double m_limit;
   Phase m_phase = Phase::kSteady;
-  // Sum and number of the slowdowns of this window.
+  // Slowdowns since the last adjustment.
   double m_slowdown_sum = 0;
   uint32_t m_samples = 0;
-  // Trial: the limit and the slowdown before the decrease.
-  double m_limit_before = 0;
-  double m_slowdown_before = 0;
-  uint32_t m_trial_windows = 0;
-  // Slowdown that a lower limit did not cure; no new trial below it.
+  // Samples of calls that were dispatched earlier do not count.
+  TimePoint m_samples_from;
+  TimePoint m_trial_started;
+  double m_limit_before_trial = 0;
+  double m_slowdown_before_trial = 0;
+  // Slowdown that a lower limit did not cure; it starts no trial while it is
+  // accepted.
   double m_accepted_slowdown = 1;
   TimePoint m_accepted_until;
-  // Bound at which the backend server last refused calls; growth beyond it is
-  // slow.
-  double m_shed_bound;
+  // Bound above which the backend server last showed overload; growth beyond
+  // it is slow.
+  double m_known_bound;
   TimePoint m_last_shed;
 };
 
--- /dev/null
+++ b/Source/admission/threshold_controller.cc
@@ -0,0 +1,153 @@
+#include "admission/threshold_controller.h"
+
+#include <algorithm>
+#include <chrono>
+#include <tuple>
+
+namespace vanillatiller {
+namespace {
+
+// Smallest share of a flow: enough calls to measure its demand by, few enough
+// to cost nothing.
+constexpr double kMinShare = 1.0 / 1024;
+// Weight of a window in the smoothed demand.
+constexpr double kDemandWeight = 0.3;
+// Steps of a rising share for each window.
+constexpr double kRaise = 1.25;
+constexpr double kFastRaise = 2.0;
+// Below this utilization shares rise fast.
+constexpr double kIdleUtilization = 0.8;
+// At this utilization the capacity factor stays as it is.
+constexpr double kFullUtilization = 0.97;
+constexpr double kFactorFall = 0.97;
+constexpr double kFactorRise = 1.02;
+constexpr double kMinFactor = 0.5;
+constexpr double kMaxFactor = 1.3;
+// A standing queue of less than this many calls is no overload, whatever delay
+// it means at a backend server with few slots.
+constexpr double kMinStandingQueue = 2;
+constexpr uint32_t kMaxIdleWindows = 20;
+
+double Seconds(Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+// Mean time that a call holds a slot, over the present demand; seconds.
+double MeanHold(const FlowTable& flows) {
+  double weighted = 0;
+  double demand = 0;
+  for (const Flow& flow : flows.All()) {
+    const double admitted = flow.demand * flow.share;
+    weighted += admitted * Seconds(flows.ServiceTimeOf(flow).Hold());
+    demand += admitted;
+  }
+  return demand > 0 ? weighted / demand : 0;
+}
+
+}  // namespace
+
+void ThresholdController::OnArrival(Flow* flow, uint32_t shed_hash) {
+  const uint32_t rank = RankOf(flow->order_class);
+  const auto threshold = AdmissionThreshold::AtShare(rank, flow->share);
+  if (threshold.Admits(rank, shed_hash)) ++flow->arrivals;
+}
+
+AdmissionThreshold ThresholdController::ThresholdOf(const Flow& flow) const {
+  if (!m_is_overloaded) return {};
+  return AdmissionThreshold::AtShare(RankOf(flow.order_class), flow.share);
+}
+
+void ThresholdController::OnWindow(const WindowReport& report,
+                                   FlowTable* flows) {
+  MeasureDemand(report, flows);
+  const bool has_standing_queue = HasStandingQueue(report, *flows);
+  if (has_standing_queue && !m_is_overloaded) {
+    m_is_overloaded = true;
+    m_capacity_factor = 1;
+  }
+  if (!m_is_overloaded) return;
+  CorrectCapacity(report, has_standing_queue);
+  SetShares(report, flows);
+  const auto admits_all = [](const Flow& flow) { return flow.share >= 1; };
+  const auto& all = flows->All();
+  m_is_overloaded =
+      has_standing_queue || !std::all_of(all.begin(), all.end(), admits_all);
+}
+
+void ThresholdController::MeasureDemand(const WindowReport& report,
+                                        FlowTable* flows) {
+  const double seconds = Seconds(report.length);
+  for (Flow& flow : flows->All()) {
+    flow.idle_windows = flow.arrivals > 0 ? 0 : flow.idle_windows + 1;
+    const double present = flow.arrivals / flow.share / seconds;
+    flow.arrivals = 0;
+    const bool is_first = flow.demand == 0;
+    const double weight = is_first ? 1.0 : kDemandWeight;
+    flow.demand += weight * (present - flow.demand);
+  }
+}
+
+bool ThresholdController::HasStandingQueue(const WindowReport& report,
+                                           const FlowTable& flows) const {
+  const double hold = MeanHold(flows);
+  const double delay = report.standing_queue * hold / report.limit;
+  return report.standing_queue >= kMinStandingQueue &&
+         delay > Seconds(m_target_queue_delay);
+}
+
+void ThresholdController::CorrectCapacity(const WindowReport& report,
+                                          bool has_standing_queue) {
+  if (has_standing_queue) {
+    m_capacity_factor *= kFactorFall;
+  } else if (report.utilization < kFullUtilization) {
+    m_capacity_factor *= kFactorRise;
+  }
+  m_capacity_factor = std::clamp(m_capacity_factor, kMinFactor, kMaxFactor);
+}
+
+void ThresholdController::SetShares(const WindowReport& report,
+                                    FlowTable* flows) {
+  m_order.clear();
+  for (FlowIndex i = 0; i < flows->All().size(); ++i) m_order.push_back(i);
+  std::sort(m_order.begin(), m_order.end(), [flows](FlowIndex a, FlowIndex b) {
+    const Flow& first = flows->At(a);
+    const Flow& second = flows->At(b);
+    return std::tie(first.order_class, first.tenant, first.method) <
+           std::tie(second.order_class, second.tenant, second.method);
+  });
+  m_demands.clear();
+  for (const FlowIndex index : m_order) {
+    const Flow& flow = flows->At(index);
+    const double hold = Seconds(flows->ServiceTimeOf(flow).Hold());
+    m_demands.push_back({flow.order_class, flow.tenant,
+                         flows->TenantWeight(flow.tenant), flow.demand * hold,
+                         0});
+  }
+  PlanShares(report.limit * m_capacity_factor, m_demands);
+  // Less important classes get nothing while a more important one is held
+  // below its demand.
+  bool is_used_up = false;
+  bool is_class_used_up = false;
+  for (size_t i = 0; i < m_order.size(); ++i) {
+    Flow& flow = flows->At(m_order[i]);
+    const ShareDemand& demand = m_demands[i];
+    const bool is_new_class =
+        i > 0 && m_demands[i - 1].order_class != demand.order_class;
+    if (is_new_class) is_used_up = is_used_up || is_class_used_up;
+    const bool is_idle = flow.idle_windows > kMaxIdleWindows;
+    double target = demand.slots > 0 ? demand.granted / demand.slots : 1;
+    if (is_used_up) target = 0;
+    if (is_idle) target = 1;
+    flow.share = MoveShare(flow.share, target, report.utilization);
+    if (flow.share < 1 && !is_idle) is_class_used_up = true;
+  }
+}
+
+double ThresholdController::MoveShare(double share, double target,
+                                      double utilization) const {
+  if (target <= share) return std::max(target, kMinShare);
+  const bool is_idle = utilization < kIdleUtilization;
+  return std::min(target, share * (is_idle ? kFastRaise : kRaise));
+}
+
+}  // namespace vanillatiller
