--- /dev/null
+++ b/Utilities/admission_driver.cc
@@ -0,0 +1,352 @@
+#include "admission_driver.h"
+
+#include <algorithm>
+#include <stdexcept>
+
+namespace vanillatiller {
+namespace {
+
+constexpr Duration kHop = std::chrono::microseconds(500);
+constexpr Duration kTick = std::chrono::milliseconds(10);
+constexpr Duration kBin = std::chrono::milliseconds(100);
+constexpr Duration kShedTime = std::chrono::microseconds(500);
+
+double Seconds(Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+Duration FromSeconds(double seconds) {
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(seconds));
+}
+
+}  // namespace
+
+double StreamResult::Fraction() const {
+  return offered > 0 ? static_cast<double>(succeeded) / offered : 1.0;
+}
+
+const StreamResult& DriverResult::Stream(const std::string& name) const {
+  for (const StreamResult& stream : streams) {
+    if (stream.name == name) return stream;
+  }
+  throw std::out_of_range("no stream " + name);
+}
+
+bool AdmissionDriver::Event::operator>(const Event& other) const {
+  if (time != other.time) return time > other.time;
+  return sequence > other.sequence;
+}
+
+AdmissionDriver::AdmissionDriver(const DriverSettings& settings)
+    : m_settings(settings),
+      m_random(settings.seed),
+      m_start(std::chrono::hours(1)),
+      m_now(m_start) {
+  for (uint32_t i = 0; i < m_settings.services.size(); ++i) {
+    const DriverService& service = m_settings.services[i];
+    Admission::Builder builder;
+    builder.SetSlots(service.slots).SetPolicy(m_settings.policy);
+    for (const TenantWeight& item : m_settings.tenant_weights) {
+      builder.AddTenant(item.tenant, item.weight);
+    }
+    Findings findings;
+    Server server;
+    server.admission = builder.Build(m_start, &findings);
+    if (server.admission == nullptr) {
+      throw std::invalid_argument(FormatFindings(findings));
+    }
+    if (service.starts_cold) server.admission->OnBackendRestarted(m_start);
+    m_servers.push_back(std::move(server));
+    Schedule(m_start + kTick, EventKind::kTick, i, i);
+  }
+  for (uint32_t i = 0; i < m_settings.streams.size(); ++i) {
+    m_result.streams.push_back({m_settings.streams[i].name, 0, 0, 0});
+    m_now = m_start + m_settings.streams[i].from;
+    ScheduleArrival(i);
+  }
+  m_now = m_start;
+}
+
+DriverResult AdmissionDriver::Run() {
+  const TimePoint end = m_start + m_settings.duration;
+  while (!m_events.empty() && m_events.top().time < end) {
+    Event event = m_events.top();
+    m_events.pop();
+    const TimePoint resumed = ResumeTime(event);
+    if (resumed > event.time) {
+      event.time = resumed;
+      m_events.push(event);
+      continue;
+    }
+    m_now = event.time;
+    Handle(event);
+  }
+  const Duration measured = m_settings.duration - m_settings.measure_from;
+  uint64_t succeeded = 0;
+  for (const StreamResult& stream : m_result.streams) {
+    succeeded += stream.succeeded;
+  }
+  m_result.goodput = succeeded / Seconds(measured);
+  m_result.wasted = m_total_work > 0 ? m_wasted_work / m_total_work : 0;
+  return m_result;
+}
+
+void AdmissionDriver::Schedule(TimePoint time, EventKind kind, uint32_t subject,
+                               uint32_t service) {
+  m_events.push({time, ++m_sequence, kind, subject, service});
+}
+
+// Events of a paused service wait until it runs again.
+TimePoint AdmissionDriver::ResumeTime(const Event& event) const {
+  if (event.kind == EventKind::kArrival) return event.time;
+  for (const DriverFault& fault : m_settings.faults) {
+    const bool is_inside =
+        event.time >= m_start + fault.from && event.time < m_start + fault.to;
+    if (fault.is_paused && fault.service == event.service && is_inside) {
+      return m_start + fault.to;
+    }
+  }
+  return event.time;
+}
+
+void AdmissionDriver::Handle(const Event& event) {
+  AdmissionActions actions;
+  switch (event.kind) {
+    case EventKind::kArrival:
+      return Arrive(event.subject);
+    case EventKind::kOffer:
+      return OfferCall(event.subject, event.service);
+    case EventKind::kWorkDone:
+      return FinishWork(event.subject, event.service);
+    case EventKind::kAnswer:
+      return EndCall(event.subject, event.service, BackendOutcome::kOk);
+    case EventKind::kTick:
+      m_servers[event.service].admission->OnTick(m_now, &actions);
+      CarryOut(actions, event.service);
+      Schedule(m_now + kTick, EventKind::kTick, event.service, event.service);
+      return;
+  }
+}
+
+void AdmissionDriver::ScheduleArrival(uint32_t stream_index) {
+  const DriverStream& stream = m_settings.streams[stream_index];
+  if (stream.rate <= 0) return;
+  std::exponential_distribution<double> gap(stream.rate);
+  const TimePoint next = m_now + FromSeconds(gap(m_random));
+  if (next >= m_start + stream.to) return;
+  Schedule(next, EventKind::kArrival, stream_index, 0);
+}
+
+uint32_t AdmissionDriver::LastService(const Request& request) const {
+  const DriverStream& stream = m_settings.streams[request.stream];
+  return stream.first_service + stream.chain_length - 1;
+}
+
+bool AdmissionDriver::IsMeasured(const Request& request) const {
+  const TimePoint end = m_start + m_settings.duration;
+  return request.arrived >= m_start + m_settings.measure_from &&
+         request.deadline < end;
+}
+
+void AdmissionDriver::Arrive(uint32_t stream_index) {
+  ScheduleArrival(stream_index);
+  const DriverStream& stream = m_settings.streams[stream_index];
+  const auto index = static_cast<uint32_t>(m_requests.size());
+  Request request;
+  request.stream = stream_index;
+  request.shed_hash = ShedHash(RequestId{{m_random(), m_random()}});
+  request.arrived = m_now;
+  request.deadline = m_now + stream.timeout;
+  const size_t services = m_settings.services.size();
+  request.dispatched.resize(services);
+  request.own_latency.resize(services);
+  request.actions.resize(services);
+  m_requests.push_back(request);
+  StreamResult& result = m_result.streams[stream_index];
+  if (IsMeasured(request)) ++result.offered;
+  const bool has_table = m_settings.use_threshold_table &&
+                         m_settings.policy == AdmissionPolicy::kAdaptive;
+  const std::string service = std::to_string(stream.first_service);
+  if (has_table && m_table.Check({service, stream.method, stream.tenant},
+                                 stream.rank, request.shed_hash,
+                                 m_now) == ThresholdTable::Decision::kRefuse) {
+    if (IsMeasured(request)) ++result.refused_at_entry;
+    m_requests[index].is_ended = true;
+    return;
+  }
+  Schedule(m_now + kHop, EventKind::kOffer, index, stream.first_service);
+}
+
+void AdmissionDriver::OfferCall(uint32_t request_index, uint32_t service) {
+  const Request& request = m_requests[request_index];
+  const DriverStream& stream = m_settings.streams[request.stream];
+  Work work;
+  work.id = request_index;
+  work.shed_hash = request.shed_hash;
+  work.rank = stream.rank;
+  work.is_protected = stream.is_protected;
+  work.is_nested = service > stream.first_service;
+  work.deadline = request.deadline;
+  work.tenant = stream.tenant;
+  work.method = stream.method;
+  AdmissionActions actions;
+  m_servers[service].admission->Offer(work, m_now, &actions);
+  CarryOut(actions, service);
+}
+
+void AdmissionDriver::CarryOut(const AdmissionActions& actions,
+                               uint32_t service) {
+  const AdmissionState state = m_servers[service].admission->State();
+  for (const AdmissionAction& action : actions) {
+    if (const auto* dispatch = std::get_if<Dispatch>(&action)) {
+      const auto index = static_cast<uint32_t>(dispatch->id);
+      if (m_requests[index].actions[service]++ > 0) {
+        ++m_result.wrong_action_counts;
+      }
+      m_result.limit_exceeded |= state.in_flight > state.limit;
+      StartWork(index, service);
+      continue;
+    }
+    const auto& refuse = std::get<Refuse>(action);
+    const auto index = static_cast<uint32_t>(refuse.id);
+    if (m_requests[index].actions[service]++ > 0) {
+      ++m_result.wrong_action_counts;
+    }
+    m_requests[index].has_failed = true;
+    Answer(index, service);
+  }
+}
+
+void AdmissionDriver::StartWork(uint32_t request_index, uint32_t service) {
+  Request& request = m_requests[request_index];
+  Server& server = m_servers[service];
+  const DriverService& spec = m_settings.services[service];
+  request.dispatched[service] = m_now;
+  ++server.held;
+  if (spec.shed_above > 0 && server.held > spec.shed_above) {
+    request.has_failed = true;
+    // The refusal takes a moment to arrive.
+    request.own_latency[service] = kShedTime;
+    Schedule(m_now + kShedTime, EventKind::kAnswer, request_index, service);
+    return;
+  }
+  if (server.working >= spec.workers) {
+    server.waiting.push_back(request_index);
+    return;
+  }
+  ++server.working;
+  std::exponential_distribution<double> time(1.0 / Seconds(spec.mean_time));
+  const double seconds = time(m_random) * Slowdown(service);
+  request.work_seconds += seconds;
+  Schedule(m_now + FromSeconds(seconds), EventKind::kWorkDone, request_index,
+           service);
+}
+
+double AdmissionDriver::Slowdown(uint32_t service) const {
+  double result = 1;
+  for (const DriverFault& fault : m_settings.faults) {
+    const bool is_inside =
+        m_now >= m_start + fault.from && m_now < m_start + fault.to;
+    if (fault.service == service && is_inside) result *= fault.slowdown;
+  }
+  return result;
+}
+
+void AdmissionDriver::FinishWork(uint32_t request_index, uint32_t service) {
+  Request& request = m_requests[request_index];
+  request.own_latency[service] = m_now - request.dispatched[service];
+  if (service < LastService(request) && m_now < request.deadline) {
+    // The backend server keeps its worker while it waits for the answer.
+    Schedule(m_now + kHop, EventKind::kOffer, request_index, service + 1);
+    return;
+  }
+  if (service == LastService(request) && m_now >= request.deadline) {
+    request.has_failed = true;
+  }
+  EndCall(request_index, service, BackendOutcome::kOk);
+}
+
+void AdmissionDriver::EndCall(uint32_t request_index, uint32_t service,
+                              BackendOutcome outcome) {
+  Request& request = m_requests[request_index];
+  Server& server = m_servers[service];
+  const bool was_shed = request.own_latency[service] == kShedTime &&
+                        m_settings.services[service].shed_above > 0;
+  --server.held;
+  if (!was_shed) ReleaseWorker(service);
+  AdmissionActions actions;
+  const BackendResult result{was_shed ? BackendOutcome::kShed : outcome,
+                             request.own_latency[service]};
+  server.admission->OnFinished(request_index, result, m_now, &actions);
+  CarryOut(actions, service);
+  Answer(request_index, service);
+}
+
+void AdmissionDriver::ReleaseWorker(uint32_t service) {
+  Server& server = m_servers[service];
+  --server.working;
+  while (!server.waiting.empty()) {
+    const uint32_t next = server.waiting.front();
+    server.waiting.pop_front();
+    Request& request = m_requests[next];
+    if (m_now < request.deadline) {
+      ++server.working;
+      const Duration mean = m_settings.services[service].mean_time;
+      std::exponential_distribution<double> time(1.0 / Seconds(mean));
+      const double seconds = time(m_random) * Slowdown(service);
+      request.work_seconds += seconds;
+      Schedule(m_now + FromSeconds(seconds), EventKind::kWorkDone, next,
+               service);
+      return;
+    }
+    // The backend server honours deadlines: it drops the call unworked.
+    request.has_failed = true;
+    request.own_latency[service] = m_now - request.dispatched[service];
+    --server.held;
+    AdmissionActions actions;
+    server.admission->OnFinished(
+        next, {BackendOutcome::kFailed, request.own_latency[service]}, m_now,
+        &actions);
+    Answer(next, service);
+    CarryOut(actions, service);
+  }
+}
+
+// Sends the answer of `service` back to its caller.
+void AdmissionDriver::Answer(uint32_t request_index, uint32_t service) {
+  Request& request = m_requests[request_index];
+  const DriverStream& stream = m_settings.streams[request.stream];
+  const bool is_first = service == stream.first_service;
+  const auto own = m_servers[service].admission->ThresholdFor(
+      stream.rank, !is_first, stream.tenant, stream.method);
+  request.threshold = AdmissionThreshold::Stricter(request.threshold, own);
+  if (!is_first) {
+    Schedule(m_now + kHop, EventKind::kAnswer, request_index, service - 1);
+    return;
+  }
+  EndRequest(request_index);
+}
+
+void AdmissionDriver::EndRequest(uint32_t request_index) {
+  Request& request = m_requests[request_index];
+  const DriverStream& stream = m_settings.streams[request.stream];
+  const std::string service = std::to_string(stream.first_service);
+  m_table.Update({service, stream.method, stream.tenant}, stream.rank,
+                 request.threshold, m_now);
+  request.is_ended = true;
+  const bool is_good = !request.has_failed && m_now < request.deadline;
+  if (IsMeasured(request)) {
+    m_total_work += request.work_seconds;
+    if (!is_good) m_wasted_work += request.work_seconds;
+    if (is_good) ++m_result.streams[request.stream].succeeded;
+  }
+  if (!is_good) return;
+  const size_t bin = (request.arrived - m_start) / kBin;
+  if (m_result.succeeded_by_arrival.size() <= bin) {
+    m_result.succeeded_by_arrival.resize(bin + 1);
+  }
+  ++m_result.succeeded_by_arrival[bin];
+}
+
+}  // namespace vanillatiller
--- /dev/null
+++ b/Utilities/admission_driver.h
@@ -0,0 +1,180 @@
+#ifndef VANILLATILLER_UTILITIES_ADMISSION_DRIVER_H_
+#define VANILLATILLER_UTILITIES_ADMISSION_DRIVER_H_
+
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <queue>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "admission/admission.h"
+
+namespace vanillatiller {
+
+// One kind of request that arrives at random (Poisson) times.
+struct DriverStream {
+  std::string name;
+  uint32_t rank = 0;
+  bool is_protected = false;
+  std::string tenant = "tenant";
+  std::string method = "method";
+  // Requests per second between `from` and `to`.
+  double rate = 0;
+  Duration from{};
+  Duration to = std::chrono::hours(1);
+  Duration timeout = std::chrono::seconds(1);
+  // Services that a request visits, from `first_service` on.
+  uint32_t first_service = 0;
+  uint32_t chain_length = 1;
+};
+
+// A time in which a backend server behaves differently.
+struct DriverFault {
+  uint32_t service = 0;
+  Duration from{};
+  Duration to{};
+  // Factor of the service time.
+  double slowdown = 1;
+  // The node does not run: events wait until the end.
+  bool is_paused = false;
+};
+
+// One service with one backend server and one node.
+struct DriverService {
+  uint32_t slots = 10;
+  // Calls that the backend server really works on at a time; others wait in it.
+  uint32_t workers = 10;
+  // It refuses calls beyond this number; 0 means that it never refuses.
+  uint32_t shed_above = 0;
+  // Mean time that it works for one call, exponentially distributed.
+  Duration mean_time = std::chrono::milliseconds(10);
+  // Started anew at time zero.
+  bool starts_cold = false;
+};
+
+struct DriverSettings {
+  AdmissionPolicy policy = AdmissionPolicy::kAdaptive;
+  // Refuse at the entry by ThresholdTable; only with kAdaptive.
+  bool use_threshold_table = true;
+  std::vector<DriverService> services;
+  std::vector<DriverStream> streams;
+  std::vector<DriverFault> faults;
+  std::vector<TenantWeight> tenant_weights;
+  Duration duration = std::chrono::seconds(10);
+  // Requests that arrive earlier are not counted.
+  Duration measure_from = std::chrono::seconds(2);
+  uint64_t seed = 1;
+};
+
+struct StreamResult {
+  std::string name;
+  uint64_t offered = 0;
+  // Answered completely and in time.
+  uint64_t succeeded = 0;
+  uint64_t refused_at_entry = 0;
+
+  double Fraction() const;
+};
+
+struct DriverResult {
+  std::vector<StreamResult> streams;
+  // Whole requests answered per second of the measured time.
+  double goodput = 0;
+  // Part of the backend servers' work done for requests that failed.
+  double wasted = 0;
+  // Requests that succeeded, by 100 ms of their arrival, from time zero.
+  std::vector<uint64_t> succeeded_by_arrival;
+  // Largest limit excess seen: dispatched calls over the limit at dispatch.
+  bool limit_exceeded = false;
+  // Calls that got no action or more than one.
+  uint64_t wrong_action_counts = 0;
+
+  const StreamResult& Stream(const std::string& name) const;
+};
+
+// Drives Admission and ThresholdTable with virtual time: a chain of services
+// with one backend server each, all shedding by the same request hash.
+class AdmissionDriver {
+ public:
+  explicit AdmissionDriver(const DriverSettings& settings);
+
+  DriverResult Run();
+
+ private:
+  enum class EventKind : uint8_t {
+    kArrival,
+    kOffer,
+    kWorkDone,
+    kAnswer,
+    kTick,
+  };
+
+  struct Event {
+    TimePoint time;
+    uint64_t sequence = 0;
+    EventKind kind = EventKind::kTick;
+    uint32_t subject = 0;  // Stream, request or service.
+    uint32_t service = 0;
+
+    bool operator>(const Event& other) const;
+  };
+
+  struct Request {
+    uint32_t stream = 0;
+    uint32_t shed_hash = 0;
+    TimePoint arrived;
+    TimePoint deadline;
+    bool has_failed = false;
+    bool is_ended = false;
+    double work_seconds = 0;
+    AdmissionThreshold threshold;
+    // Time at which the service received it, or its backend server began.
+    std::vector<TimePoint> dispatched;
+    std::vector<Duration> own_latency;
+    std::vector<uint8_t> actions;
+  };
+
+  struct Server {
+    std::unique_ptr<Admission> admission;
+    std::deque<uint32_t> waiting;
+    uint32_t working = 0;
+    uint32_t held = 0;
+  };
+
+  void Schedule(TimePoint time, EventKind kind, uint32_t subject,
+                uint32_t service);
+  void Handle(const Event& event);
+  TimePoint ResumeTime(const Event& event) const;
+  void Arrive(uint32_t stream_index);
+  void ScheduleArrival(uint32_t stream_index);
+  void OfferCall(uint32_t request, uint32_t service);
+  void CarryOut(const AdmissionActions& actions, uint32_t service);
+  void StartWork(uint32_t request, uint32_t service);
+  void FinishWork(uint32_t request, uint32_t service);
+  void EndCall(uint32_t request, uint32_t service, BackendOutcome outcome);
+  void ReleaseWorker(uint32_t service);
+  void Answer(uint32_t request, uint32_t service);
+  void EndRequest(uint32_t request);
+  double Slowdown(uint32_t service) const;
+  uint32_t LastService(const Request& request) const;
+  bool IsMeasured(const Request& request) const;
+
+  DriverSettings m_settings;
+  std::mt19937_64 m_random;
+  TimePoint m_start;
+  TimePoint m_now;
+  uint64_t m_sequence = 0;
+  std::priority_queue<Event, std::vector<Event>, std::greater<>> m_events;
+  std::vector<Server> m_servers;
+  std::vector<Request> m_requests;
+  ThresholdTable m_table;
+  DriverResult m_result;
+  double m_total_work = 0;
+  double m_wasted_work = 0;
+};
+
+}  // namespace vanillatiller
+
+#endif  // VANILLATILLER_UTILITIES_ADMISSION_DRIVER_H_
