Admission: Judge a latency trial by significance

A trial compared means of 16 latencies, whose noise is larger than the effect it looks for, so that a backend server that was only slow lost up to half of its limit. A trial now takes 128 samples and a fall of two standard errors.

--- a/Source/admission/concurrency_limit.cc
+++ b/Source/admission/concurrency_limit.cc
@@ -8,23 +8,27 @@
 namespace {
 
 // Fewer samples than this say too little of the mean latency.
-constexpr uint32_t kMinSamples = 16;
+constexpr uint32_t kMinSamples = 128;
+// Standard errors by which latency must fall for a lower limit to be kept.
+constexpr double kSignificance = 2.0;
 // Mean latency over the accepted one that starts a trial.
 constexpr double kSlowdownTrigger = 2.0;
 // A trial lowers the limit to this part.
-constexpr double kTrialFactor = 0.8;
+constexpr double kTrialFactor = 0.7;
 // Smallest d(log latency) / d(log limit) at which a lower limit is kept: 1
 // means that the lost concurrency was only waiting, 0 that it was useful.
 constexpr double kKeptElasticity = 0.5;
 constexpr Duration kMaxTrial = std::chrono::seconds(5);
 // How long an uncured slowdown is accepted before the next trial.
 constexpr Duration kAcceptance = std::chrono::seconds(10);
-// Growth for each window: below the known bound by a part of the limit, beyond
-// it by a part of the slots, in calls at least.
+// Growth for each window: below the known bound by a part of the limit, in
+// calls at least; beyond it by a part of the slots. Growth beyond a bound known
+// from latency costs only latency, beyond one known from refusals it costs
+// refused calls.
 constexpr double kFastGrowth = 0.05;
 constexpr double kFastGrowthCalls = 1.0;
-constexpr double kSlowGrowth = 0.002;
-constexpr double kSlowGrowthCalls = 0.05;
+constexpr double kGrowthAfterTrial = 0.01;
+constexpr double kGrowthAfterShed = 0.002;
 // A refusal by the backend server lowers the limit to this part of what it
 // held, and marks a bound a little below what it held.
 constexpr double kShedFactor = 0.9;
@@ -53,6 +57,7 @@
     return;
   }
   m_slowdown_sum += slowdown;
+  m_slowdown_squares += slowdown * slowdown;
   ++m_samples;
 }
 
@@ -63,6 +68,7 @@
   m_last_shed = now;
   m_known_bound = std::max(1.0, held * kShedBoundFactor);
   m_limit = std::max(1.0, held * kShedFactor);
+  m_growth_beyond_bound = kGrowthAfterShed;
   m_phase = Phase::kSteady;
   ResetSamples();
 }
@@ -77,19 +83,24 @@
     return;
   }
   const double slowdown = m_slowdown_sum / m_samples;
+  const double variance = m_slowdown_squares / m_samples - slowdown * slowdown;
+  // Of the logarithm of the mean.
+  const double error = std::sqrt(variance / m_samples) / slowdown;
   ResetSamples();
-  if (m_phase == Phase::kTrialMeasuring) return JudgeTrial(slowdown, now);
+  if (m_phase == Phase::kTrialMeasuring) {
+    return JudgeTrial(slowdown, error, now);
+  }
   if (!was_reached) return;
   if (m_phase == Phase::kRamp) return Ramp(slowdown);
   if (slowdown > kSlowdownTrigger * m_accepted_slowdown && m_limit >= 2) {
-    return StartTrial(slowdown, now);
+    return StartTrial(slowdown, error, now);
   }
   Grow();
 }
 
 void ConcurrencyLimit::Grow() {
   const double fast = std::max(kFastGrowthCalls, kFastGrowth * m_limit);
-  const double slow = std::max(kSlowGrowthCalls, kSlowGrowth * m_slots);
+  const double slow = m_growth_beyond_bound * m_slots;
   if (m_limit + fast <= m_known_bound) {
     m_limit += fast;
   } else {
@@ -107,7 +118,9 @@
   if (m_limit >= m_slots) m_phase = Phase::kSteady;
 }
 
-void ConcurrencyLimit::StartTrial(double slowdown, TimePoint now) {
+void ConcurrencyLimit::StartTrial(double slowdown, double error,
+                                  TimePoint now) {
+  m_error_before_trial = error;
   m_limit_before_trial = m_limit;
   m_slowdown_before_trial = slowdown;
   m_limit = std::max(1.0, m_limit * kTrialFactor);
@@ -116,15 +129,19 @@
   m_phase = Phase::kTrialSettling;
 }
 
-void ConcurrencyLimit::JudgeTrial(double slowdown, TimePoint now) {
+void ConcurrencyLimit::JudgeTrial(double slowdown, double error,
+                                  TimePoint now) {
   const double latency_change = std::log(m_slowdown_before_trial / slowdown);
   const double limit_change = std::log(m_limit_before_trial / m_limit);
-  if (latency_change < kKeptElasticity * limit_change) {
+  const double noise = std::hypot(error, m_error_before_trial);
+  if (latency_change < kKeptElasticity * limit_change ||
+      latency_change < kSignificance * noise) {
     m_accepted_slowdown = std::max(slowdown, m_slowdown_before_trial);
     m_accepted_until = now + kAcceptance;
     return EndTrial(now);
   }
   m_known_bound = m_limit;
+  m_growth_beyond_bound = kGrowthAfterTrial;
   m_phase = Phase::kSteady;
 }
 
@@ -137,6 +154,7 @@
 
 void ConcurrencyLimit::ResetSamples() {
   m_slowdown_sum = 0;
+  m_slowdown_squares = 0;
   m_samples = 0;
 }
 
--- a/Source/admission/concurrency_limit.h
+++ b/Source/admission/concurrency_limit.h
@@ -55,8 +55,9 @@
 
   void Grow();
   void Ramp(double slowdown);
-  void StartTrial(double slowdown, TimePoint now);
-  void JudgeTrial(double slowdown, TimePoint now);
+  // `error` is the standard error of the logarithm of the mean slowdown.
+  void StartTrial(double slowdown, double error, TimePoint now);
+  void JudgeTrial(double slowdown, double error, TimePoint now);
   void EndTrial(TimePoint now);
   void ResetSamples();
 
@@ -65,12 +66,14 @@
   Phase m_phase = Phase::kSteady;
   // Slowdowns since the last adjustment.
   double m_slowdown_sum = 0;
+  double m_slowdown_squares = 0;
   uint32_t m_samples = 0;
   // Samples of calls that were dispatched earlier do not count.
   TimePoint m_samples_from;
   TimePoint m_trial_started;
   double m_limit_before_trial = 0;
   double m_slowdown_before_trial = 0;
+  double m_error_before_trial = 0;
   // Slowdown that a lower limit did not cure; it starts no trial while it is
   // accepted.
   double m_accepted_slowdown = 1;
@@ -78,6 +81,8 @@
   // Bound above which the backend server last showed overload; growth beyond
   // it is slow.
   double m_known_bound;
+  // Growth for each window beyond that bound, as a part of the slots.
+  double m_growth_beyond_bound = 1;
   TimePoint m_last_shed;
 };
 
