Admission: Smooth demand, service time and shares

Estimates of single windows are noisier than the spare capacity that they divide, so shares swung by half. Demand now follows a change at once only where chance does not explain it, service time averages 128 calls, and small differences of a share are followed by 30%.

--- a/Source/admission/service_time.cc
+++ b/Source/admission/service_time.cc
@@ -6,7 +6,7 @@
 namespace vanillatiller {
 namespace {
 
-constexpr uint32_t kWarmSamples = 32;
+constexpr uint32_t kWarmSamples = 128;
 // Rise of the base towards the present latency for each window: fast without
 // load, and slow under load, where latency also contains waiting.
 constexpr double kIdleRise = 0.05;
--- a/Source/admission/threshold_controller.cc
+++ b/Source/admission/threshold_controller.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
 #include <tuple>
 
 namespace vanillatiller {
@@ -10,8 +11,16 @@
 // Smallest share of a flow: enough calls to measure its demand by, few enough
 // to cost nothing.
 constexpr double kMinShare = 1.0 / 1024;
-// Weight of a window in the smoothed demand.
-constexpr double kDemandWeight = 0.3;
+// Weight of a window in the smoothed demand: high for a change that chance does
+// not explain, low otherwise.
+constexpr double kChangedWeight = 0.6;
+constexpr double kSteadyWeight = 0.1;
+// Standard deviations of a Poisson count that chance explains.
+constexpr double kSignificance = 3.0;
+// Shares follow differences smaller than this part, which are mostly noise of
+// the estimates, by the given weight.
+constexpr double kSmallChange = 0.25;
+constexpr double kSmallChangeWeight = 0.3;
 // Steps of a rising share for each window.
 constexpr double kRaise = 1.25;
 constexpr double kFastRaise = 2.0;
@@ -79,10 +88,13 @@
   const double seconds = Seconds(report.length);
   for (Flow& flow : flows->All()) {
     flow.idle_windows = flow.arrivals > 0 ? 0 : flow.idle_windows + 1;
-    const double present = flow.arrivals / flow.share / seconds;
+    const double arrivals = flow.arrivals;
+    const double present = arrivals / flow.share / seconds;
     flow.arrivals = 0;
-    const bool is_first = flow.demand == 0;
-    const double weight = is_first ? 1.0 : kDemandWeight;
+    const double expected = flow.demand * flow.share * seconds;
+    const double surprise = std::abs(arrivals - expected);
+    const bool is_change = surprise > kSignificance * std::sqrt(expected + 1);
+    const double weight = is_change ? kChangedWeight : kSteadyWeight;
     flow.demand += weight * (present - flow.demand);
   }
 }
@@ -145,7 +157,11 @@
 
 double ThresholdController::MoveShare(double share, double target,
                                       double utilization) const {
-  if (target <= share) return std::max(target, kMinShare);
+  target = std::max(target, kMinShare);
+  if (target < 1 && std::abs(target - share) < kSmallChange * share) {
+    return share + kSmallChangeWeight * (target - share);
+  }
+  if (target <= share) return target;
   const bool is_idle = utilization < kIdleUtilization;
   return std::min(target, share * (is_idle ? kFastRaise : kRaise));
 }
