Admission: Let twice as many calls wait as there are slots

At full load the queue of as many calls as slots overflowed from chance alone, and every overflow at a deep service wastes the work of the services above.

--- a/Source/admission/admission.cc
+++ b/Source/admission/admission.cc
@@ -119,7 +119,7 @@
 
 uint32_t Admission::Parts::QueueBound() const {
   if (settings.queue_bound > 0) return settings.queue_bound;
-  return std::max(settings.slots, kMinQueueBound);
+  return std::max(2 * settings.slots, kMinQueueBound);
 }
 
 void Admission::Parts::NoteTime(TimePoint now) {
--- a/Source/admission/admission.h
+++ b/Source/admission/admission.h
@@ -41,7 +41,7 @@
   AdmissionPolicy policy = AdmissionPolicy::kAdaptive;
   // Concurrent calls that the backend server declares to take.
   uint32_t slots = 1;
-  // Calls that may wait; 0 means as many as there are slots, at least 16.
+  // Calls that may wait; 0 means twice the number of slots, at least 16.
   uint32_t queue_bound = 0;
   // Standing queue delay above which thresholds fall.
   Duration target_queue_delay = std::chrono::milliseconds(5);
