Admission: Give out less capacity while nested calls are refused

A refused nested call wastes the work of the services above it, and the standing queue alone does not show it. The capacity factor now also falls when more than 1% of the nested calls are refused for overload.

--- a/Source/admission/admission.cc
+++ b/Source/admission/admission.cc
@@ -108,6 +108,8 @@
   double held_seconds = 0;
   uint32_t smallest_queue = 0;
   bool was_limit_reached = false;
+  uint32_t nested_offered = 0;
+  uint32_t nested_refused = 0;
   // Calls dispatched earlier give no measurements: a pause fell into them.
   TimePoint valid_from;
 };
@@ -146,6 +148,10 @@
   report.limit = Limit();
   report.utilization = held_seconds / seconds / report.limit;
   report.standing_queue = smallest_queue;
+  report.nested_offered = nested_offered;
+  report.nested_refused = nested_refused;
+  nested_offered = 0;
+  nested_refused = 0;
   if (traits.is_adaptive) {
     limit.OnWindow(was_limit_reached, now);
     thresholds.OnWindow(report, &flows);
@@ -210,6 +216,7 @@
                                          const QueuedWork& queued,
                                          TimePoint now) {
   Flow& flow = flows.At(queued.flow);
+  if (work.is_nested) ++nested_offered;
   if (traits.is_ranked) thresholds.OnArrival(&flow, work.shed_hash);
   if (!CanFinish(work, queued, now)) {
     flows.ServiceTimeOf(flow).NoteRefused();
@@ -246,6 +253,8 @@
 void Admission::Parts::Reject(const QueuedWork& queued, RefusalCode code,
                               TimePoint now, AdmissionActions* actions) {
   CountRefusal(code);
+  const bool is_nested = IsNested(flows.At(queued.flow).order_class);
+  if (is_nested && code == RefusalCode::kOverload) ++nested_refused;
   const auto threshold = thresholds.ThresholdOf(flows.At(queued.flow));
   actions->push_back(Refuse{queued.id, code, threshold, now - queued.offered});
 }
--- a/Source/admission/flow_table.cc
+++ b/Source/admission/flow_table.cc
@@ -17,6 +17,8 @@
 
 uint32_t RankOf(uint32_t order_class) { return order_class / 2; }
 
+bool IsNested(uint32_t order_class) { return order_class % 2 == 0; }
+
 FlowIndex FlowTable::Intern(uint32_t order_class, std::string_view tenant,
                             std::string_view method) {
   uint64_t tenant_hash = HashBytes(tenant);
--- a/Source/admission/flow_table.h
+++ b/Source/admission/flow_table.h
@@ -34,6 +34,7 @@
 
 uint32_t OrderClass(uint32_t rank, bool is_nested);
 uint32_t RankOf(uint32_t order_class);
+bool IsNested(uint32_t order_class);
 
 // Names of tenants and methods, their flows, weights and service times.
 class FlowTable {
--- a/Source/admission/threshold_controller.cc
+++ b/Source/admission/threshold_controller.cc
@@ -30,6 +30,9 @@
 constexpr double kFullUtilization = 0.97;
 constexpr double kFactorFall = 0.97;
 constexpr double kFactorRise = 1.02;
+// Refused part of nested calls at which the capacity factor falls: each wastes
+// the work of the services above.
+constexpr double kToleratedNestedRefusals = 0.01;
 constexpr double kMinFactor = 0.5;
 constexpr double kMaxFactor = 1.3;
 // A standing queue of less than this many calls is no overload, whatever delay
@@ -109,7 +112,8 @@
 
 void ThresholdController::CorrectCapacity(const WindowReport& report,
                                           bool has_standing_queue) {
-  if (has_standing_queue) {
+  const double tolerated = kToleratedNestedRefusals * report.nested_offered;
+  if (has_standing_queue || report.nested_refused > tolerated) {
     m_capacity_factor *= kFactorFall;
   } else if (report.utilization < kFullUtilization) {
     m_capacity_factor *= kFactorRise;
--- a/Source/admission/threshold_controller.h
+++ b/Source/admission/threshold_controller.h
@@ -21,6 +21,9 @@
   // Smallest queue length of the window: waiting that bursts do not explain
   // (Nichols and Jacobson, "Controlling Queue Delay", 2012).
   uint32_t standing_queue = 0;
+  // Nested calls that were offered, and those refused for overload.
+  uint32_t nested_offered = 0;
+  uint32_t nested_refused = 0;
 };
 
 // Sets the share of each flow that the admission threshold admits.
