--- /dev/null
+++ b/Source/routing/peer_state.cc
@@ -0,0 +1,68 @@
+#include "routing/peer_state.h"
+
+#include <algorithm>
+
+namespace vanillatiller {
+namespace {
+
+constexpr std::chrono::seconds kSlowStartTime{10};
+// A cold peer gets at least this share of a warm one's work, or it would never
+// warm up.
+constexpr double kMinRampFraction = 0.1;
+constexpr std::chrono::seconds kReportLifetime{1};
+constexpr uint32_t kFailuresBeforeEjection = 3;
+constexpr std::chrono::seconds kFirstEjection{1};
+constexpr uint32_t kMaxEjectionDoublings = 4;
+
+}  // namespace
+
+PeerState::PeerState(TimePoint first_seen, bool slow_start)
+    : m_first_seen(first_seen), m_slow_start(slow_start) {}
+
+void PeerState::OnAnswer(const PeerLoad& load, TimePoint now) {
+  --m_outstanding;
+  m_reported = load.in_flight + load.queued;
+  m_limit = load.concurrency_limit;
+  m_reported_at = now;
+  m_failures = 0;
+  m_ejected_until = TimePoint{};
+  m_leaving = load.leaving;
+}
+
+void PeerState::OnFailure(PeerFailure failure, TimePoint now) {
+  --m_outstanding;
+  uint32_t failures = ++m_failures;
+  // A dead backend server behind a live node refuses every call, so waiting
+  // for more evidence only costs attempts.
+  if (failure == PeerFailure::kBackendDown) {
+    failures = std::max(failures, kFailuresBeforeEjection);
+  }
+  if (failures < kFailuresBeforeEjection) return;
+  const uint32_t doublings =
+      std::min(failures - kFailuresBeforeEjection, kMaxEjectionDoublings);
+  m_ejected_until = now + kFirstEjection * (1U << doublings);
+}
+
+double PeerState::Load(uint32_t declared_slots, TimePoint now) const {
+  const uint32_t limit = m_limit;
+  const double slots = std::max(1U, limit != 0 ? limit : declared_slots);
+  const bool is_fresh = now - m_reported_at.load() < kReportLifetime;
+  const double own = std::max(0, m_outstanding.load());
+  // The peer's report includes this node's calls, so the two are not added.
+  const double taken =
+      is_fresh ? std::max(own, static_cast<double>(m_reported)) : own;
+  return (taken + 1) / slots / RampFraction(now);
+}
+
+bool PeerState::IsEjected(TimePoint now) const {
+  return now < m_ejected_until.load();
+}
+
+double PeerState::RampFraction(TimePoint now) const {
+  if (!m_slow_start) return 1;
+  const double fraction =
+      std::chrono::duration<double>(now - m_first_seen) / kSlowStartTime;
+  return std::clamp(fraction, kMinRampFraction, 1.0);
+}
+
+}  // namespace vanillatiller
