Node: Route by load and distance and replace silent connections

Cause: Caller picked any live member at random. Change: PeerRouter rebuilds the routing table when members or configuration change, learns load, leaving and failures from answers, and pings doubted connections; Ping joins the peer protocol. Conclusion: routing decisions now run on the request path.

--- a/Source/node/caller.cc
+++ b/Source/node/caller.cc
@@ -12,7 +12,11 @@
          std::chrono::duration_cast<std::chrono::system_clock::duration>(left);
 }
 
-CallAnswer FromStatus(const grpc::Status& status) {
+CallAnswer FromStatus(const grpc::Status& status, bool is_lost) {
+  if (is_lost) {
+    return UnknownOutcome(RefusalCode::kConnectionLost,
+                          "connection to the peer was silent");
+  }
   const std::string text = "call to peer failed: " + status.error_message();
   if (status.error_code() == grpc::StatusCode::CANCELLED) {
     return UnknownOutcome(RefusalCode::kCancelled, text);
@@ -27,44 +31,32 @@
 
 Caller::Caller(const Parts& parts)
     : m_settings(parts.settings),
-      m_view(parts.view),
       m_ids(parts.ids),
       m_channels(parts.channels),
+      m_router(parts.router),
       m_callee(parts.callee) {}
 
 CallAnswer Caller::Call(CallContext context, const std::string& body,
                         Cancellation& cancellation, TimePoint now) {
-  const std::optional<Member> member = Pick(context);
-  if (!member) {
-    return NotRun(RefusalCode::kNoPeer,
-                  "no live node serves \"" + context.service + "\"");
-  }
+  Reason reason;
+  const std::optional<PeerChoice> choice =
+      m_router.Pick(context, body.size(), {}, now, &reason);
+  if (!choice) return NotRun(reason.code, reason.text);
   context.call = m_ids.NextCall();
-  context.callee_incarnation = member->incarnation;
-  return Attempt(*member, context, body, cancellation, now);
-}
-
-std::optional<Member> Caller::Pick(const CallContext& context) {
-  const auto members = m_view.members();
-  if (!members) return std::nullopt;
-  std::vector<const Member*> candidates;
-  for (const Member& member : *members) {
-    if (member.service == context.service &&
-        member.state == MemberState::kLive) {
-      candidates.push_back(&member);
-    }
-  }
-  if (candidates.empty()) return std::nullopt;
-  return *candidates[m_ids.NextWord() % candidates.size()];
+  context.callee_incarnation = choice->member.incarnation;
+  return Attempt(*choice, context, body, cancellation, now);
 }
 
-CallAnswer Caller::Attempt(const Member& member, const CallContext& context,
+CallAnswer Caller::Attempt(const PeerChoice& choice, const CallContext& context,
                            const std::string& body, Cancellation& cancellation,
                            TimePoint now) {
-  if (member.vm == m_settings.vm) {
-    return AttemptLocal(context, body, cancellation, now);
+  if (choice.member.vm == m_settings.vm) {
+    choice.state->OnSent();
+    CallAnswer answer = AttemptLocal(context, body, cancellation, now);
+    PeerRouter::Learn(*choice.state, answer, BootClock::now());
+    return answer;
   }
-  return AttemptRemote(member, context, body, cancellation, now);
+  return AttemptRemote(choice, context, body, cancellation, now);
 }
 
 CallAnswer Caller::AttemptLocal(const CallContext& context,
@@ -82,7 +74,7 @@
   return answer;
 }
 
-CallAnswer Caller::AttemptRemote(const Member& member,
+CallAnswer Caller::AttemptRemote(const PeerChoice& choice,
                                  const CallContext& context,
                                  const std::string& body,
                                  Cancellation& cancellation, TimePoint now) {
@@ -91,21 +83,25 @@
   request.set_body(body);
   request.set_body_hash(HashBytes(body));
 
-  grpc::ClientContext client_context;
-  client_context.set_deadline(GrpcDeadline(context.deadline - now));
-  const auto stub = m_channels.Get(member.peer_address);
+  OutgoingAttempt attempt;
+  attempt.choice = choice;
+  attempt.context.set_deadline(GrpcDeadline(context.deadline - now));
+  const auto stub = m_channels.Get(choice.member.peer_address);
   v1::CallAnswer response;
   std::promise<grpc::Status> promise;
-  stub->async()->Call(&client_context, &request, &response,
+  m_router.Begin(attempt, now);
+  stub->async()->Call(&attempt.context, &request, &response,
                       [&promise](grpc::Status status) {
                         promise.set_value(std::move(status));
                       });
   const uint64_t key =
-      cancellation.Add([&client_context] { client_context.TryCancel(); });
+      cancellation.Add([&attempt] { attempt.context.TryCancel(); });
   const grpc::Status status = promise.get_future().get();
   cancellation.Remove(key);
-  if (!status.ok()) return FromStatus(status);
-  return FromWire(response.answer(), context.call);
+  CallAnswer answer = status.ok() ? FromWire(response.answer(), context.call)
+                                  : FromStatus(status, attempt.is_lost);
+  m_router.End(attempt, answer, BootClock::now());
+  return answer;
 }
 
 }  // namespace vanillatiller
--- a/Source/node/caller.h
+++ b/Source/node/caller.h
@@ -11,6 +11,7 @@
 #include "node/fleet_view.h"
 #include "node/id_source.h"
 #include "node/peer_channels.h"
+#include "node/peer_router.h"
 #include "node/settings.h"
 
 namespace vanillatiller {
@@ -24,6 +25,7 @@
     const FleetView& view;
     IdSource& ids;
     PeerChannels& channels;
+    PeerRouter& router;
     // Serves attempts whose chosen node is this one.
     Callee& callee;
   };
@@ -36,20 +38,19 @@
                   Cancellation& cancellation, TimePoint now);
 
  private:
-  std::optional<Member> Pick(const CallContext& context);
-  CallAnswer Attempt(const Member& member, const CallContext& context,
+  CallAnswer Attempt(const PeerChoice& choice, const CallContext& context,
                      const std::string& body, Cancellation& cancellation,
                      TimePoint now);
   CallAnswer AttemptLocal(const CallContext& context, const std::string& body,
                           Cancellation& cancellation, TimePoint now);
-  CallAnswer AttemptRemote(const Member& member, const CallContext& context,
+  CallAnswer AttemptRemote(const PeerChoice& choice, const CallContext& context,
                            const std::string& body, Cancellation& cancellation,
                            TimePoint now);
 
   const NodeSettings& m_settings;
-  const FleetView& m_view;
   IdSource& m_ids;
   PeerChannels& m_channels;
+  PeerRouter& m_router;
   Callee& m_callee;
 };
 
--- a/Source/node/node.cc
+++ b/Source/node/node.cc
@@ -26,8 +26,9 @@
     : m_settings(std::move(settings)),
       m_incarnation(NewIncarnation()),
       m_channels(grpc::InsecureChannelCredentials()),
+      m_router({m_settings, m_view, m_ids, m_channels}),
       m_callee({m_settings, m_view, m_ids, m_active_calls, m_incarnation}),
-      m_caller({m_settings, m_view, m_ids, m_channels, m_callee}),
+      m_caller({m_settings, m_view, m_ids, m_channels, m_router, m_callee}),
       m_entry({m_settings, m_view, m_ids, m_active_calls, m_caller}),
       m_peer_service(m_settings, m_callee),
       m_platform(m_settings, m_view),
@@ -69,6 +70,7 @@
     return false;
   }
   m_platform.Start();
+  m_router.Start();
   Log(LogLevel::kInfo, "started",
       {{"service", m_settings.service},
        {"incarnation", std::to_string(m_incarnation)},
@@ -85,6 +87,7 @@
   m_local_front.Stop();
   m_admin_front.Stop();
   m_platform.Stop();
+  m_router.Stop();
   m_server->Shutdown(std::chrono::system_clock::now() + kServerShutdownTime);
   Log(LogLevel::kInfo, "stopped");
 }
--- a/Source/node/node.h
+++ b/Source/node/node.h
@@ -14,6 +14,7 @@
 #include "node/http_front.h"
 #include "node/id_source.h"
 #include "node/peer_channels.h"
+#include "node/peer_router.h"
 #include "node/peer_service.h"
 #include "node/platform_client.h"
 #include "node/settings.h"
@@ -44,6 +45,7 @@
   IdSource m_ids;
   ActiveCalls m_active_calls;
   PeerChannels m_channels;
+  PeerRouter m_router;
   Callee m_callee;
   Caller m_caller;
   Entry m_entry;
--- a/Source/node/peer_channels.cc
+++ b/Source/node/peer_channels.cc
@@ -22,6 +22,12 @@
   return stub;
 }
 
+std::shared_ptr<v1::Peer::Stub> PeerChannels::OpenSeparate(
+    const std::string& address) {
+  const std::lock_guard lock(m_mutex);
+  return Open(address);
+}
+
 void PeerChannels::Replace(const std::string& address) {
   const std::lock_guard lock(m_mutex);
   m_stubs.erase(address);
--- a/Source/node/peer_channels.h
+++ b/Source/node/peer_channels.h
@@ -21,6 +21,9 @@
   // Stub for the node at `address` ("IP:PORT"); opens a channel on first use.
   std::shared_ptr<v1::Peer::Stub> Get(const std::string& address);
 
+  // Stub on a connection of its own, for a probe.
+  std::shared_ptr<v1::Peer::Stub> OpenSeparate(const std::string& address);
+
   // Forgets the channel, so that the next use opens a new connection.
   void Replace(const std::string& address);
 
--- a/Source/node/peer_service.cc
+++ b/Source/node/peer_service.cc
@@ -55,6 +55,14 @@
   return reactor;
 }
 
+grpc::ServerUnaryReactor* PeerService::Ping(
+    grpc::CallbackServerContext* context, const v1::PingRequest* /*request*/,
+    v1::PingAnswer* /*response*/) {
+  auto* reactor = context->DefaultReactor();
+  reactor->Finish(grpc::Status::OK);
+  return reactor;
+}
+
 grpc::ServerUnaryReactor* PeerService::Cancel(
     grpc::CallbackServerContext* context, const v1::CancelRequest* request,
     v1::CancelAnswer* /*response*/) {
--- a/Source/node/peer_service.h
+++ b/Source/node/peer_service.h
@@ -17,6 +17,9 @@
   grpc::ServerUnaryReactor* Call(grpc::CallbackServerContext* context,
                                  const v1::CallRequest* request,
                                  v1::CallAnswer* response) override;
+  grpc::ServerUnaryReactor* Ping(grpc::CallbackServerContext* context,
+                                 const v1::PingRequest* request,
+                                 v1::PingAnswer* response) override;
   grpc::ServerUnaryReactor* Cancel(grpc::CallbackServerContext* context,
                                    const v1::CancelRequest* request,
                                    v1::CancelAnswer* response) override;
