--- /dev/null
+++ b/Source/vtstub/backend_server.cc
@@ -0,0 +1,309 @@
+#include "vtstub/backend_server.h"
+
+#include <nlohmann/json.hpp>
+#include <thread>
+
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+#include "httplib.h"
+#include "vtstub/peer_socket.h"
+
+namespace vanillatiller {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kWorkStep{10};
+constexpr milliseconds kDefaultTimeout{60'000};
+constexpr int kStatusNotStarted = 503;
+constexpr int kStatusCancelled = 499;
+constexpr int kStatusExpired = 504;
+constexpr int kStatusDownstreamFailed = 502;
+
+double NumberParameter(const httplib::Request& request, const char* name,
+                       double fallback) {
+  double value = 0;
+  return absl::SimpleAtod(request.get_param_value(name), &value) ? value
+                                                                 : fallback;
+}
+
+Duration MillisecondsParameter(const httplib::Request& request,
+                               const char* name) {
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double, std::milli>(
+          NumberParameter(request, name, 0)));
+}
+
+void RefuseUnstarted(const char* why, httplib::Response* response) {
+  response->status = kStatusNotStarted;
+  response->set_header("X-Vt-Shed", "1");
+  response->set_content(nlohmann::json({{"error", why}}).dump(),
+                        "application/json");
+}
+
+void SetJson(const nlohmann::json& value, httplib::Response* response) {
+  response->set_content(value.dump(), "application/json");
+}
+
+}  // namespace
+
+// One call while it is in the server.
+struct BackendServer::Call {
+  const MethodConfig* method = nullptr;
+  std::string token;
+  nlohmann::json body;
+  std::string id;
+  std::string path;
+  TimePoint deadline;
+  PeerSocket socket;
+  double work_ms = 0;
+
+  bool IsExpired() const { return BootClock::now() >= deadline; }
+};
+
+BackendServer::BackendServer(BackendOptions options)
+    : m_options(std::move(options)),
+      m_slots(m_options.slots),
+      m_service_time(m_options.shape, m_options.service_time, m_options.seed) {}
+
+BackendServer::~BackendServer() = default;
+
+void BackendServer::Install(httplib::Server* server) {
+  server->Post(
+      "/" + m_options.service + "/([A-Za-z0-9_-]+)",
+      [this](const httplib::Request& request, httplib::Response& response) {
+        HandleCall(request, &response);
+      });
+  server->Get("/health", [this](const auto&, httplib::Response& response) {
+    HandleHealth(&response);
+  });
+  server->Get("/load", [this](const auto&, httplib::Response& response) {
+    HandleLoad(&response);
+  });
+  server->Get("/executions", [this](const auto&, httplib::Response& response) {
+    response.set_content(m_log.ToText(), "text/plain");
+  });
+  server->Get("/stats", [this](const auto&, httplib::Response& response) {
+    SetJson({{"in_use", m_slots.in_use()},
+             {"waiting", m_slots.waiting()},
+             {"executions", m_log.size()},
+             {"shed", m_shed.load()},
+             {"cancelled", m_cancelled.load()},
+             {"expired", m_expired.load()}},
+            &response);
+  });
+  InstallControls(server);
+}
+
+void BackendServer::InstallControls(httplib::Server* server) {
+  using Request = httplib::Request;
+  using Apply = std::function<void(const Request&)>;
+  const auto add = [server](const char* name, Apply apply) {
+    server->Post(absl::StrCat("/control/", name),
+                 [apply](const Request& request, httplib::Response& response) {
+                   apply(request);
+                   response.set_content("ok\n", "text/plain");
+                 });
+  };
+  // slow?factor=F: multiplies service times.
+  add("slow", [this](const Request& request) {
+    const std::lock_guard lock(m_time_mutex);
+    m_service_time.SetSlowFactor(NumberParameter(request, "factor", 1));
+  });
+  // cold?factor=F&ms=T: a cold start that lasts T.
+  add("cold", [this](const Request& request) {
+    const std::lock_guard lock(m_time_mutex);
+    m_service_time.StartCold(NumberParameter(request, "factor", 1),
+                             MillisecondsParameter(request, "ms"),
+                             BootClock::now());
+  });
+  // shed?queue=N: sheds calls when N wait; without the parameter, none.
+  add("shed", [this](const Request& request) {
+    const double limit = NumberParameter(request, "queue", UINT32_MAX);
+    m_queue_limit = static_cast<uint32_t>(limit);
+  });
+  // drain?on=0|1: refuses new calls and finishes the running ones.
+  add("drain", [this](const Request& request) {
+    m_draining = NumberParameter(request, "on", 1) != 0;
+  });
+  // hang?on=0|1: keeps connections open and answers nothing.
+  add("hang", [this](const Request& request) {
+    m_hung = NumberParameter(request, "on", 1) != 0;
+  });
+  // health?value=0|1: /health shows this; without the parameter, the truth.
+  add("health", [this](const Request& request) {
+    m_health_value = NumberParameter(request, "value", 1) != 0;
+    m_health_fixed = request.has_param("value");
+  });
+  // load?in_use=N: /load shows this; without the parameter, the truth.
+  // load?freeze=1: /load keeps showing the present value.
+  add("load", [this](const Request& request) {
+    const int64_t now_in_use = m_slots.in_use();
+    m_load_fixed =
+        request.has_param("freeze")
+            ? now_in_use
+            : static_cast<int64_t>(NumberParameter(request, "in_use", -1));
+  });
+  // reset: forgets the execution records.
+  add("reset", [this](const Request&) { m_log.Reset(); });
+}
+
+void BackendServer::HandleHealth(httplib::Response* response) const {
+  const bool healthy = m_health_fixed ? m_health_value.load() : !m_draining;
+  response->status = healthy ? 200 : 503;
+  SetJson({{"healthy", healthy}, {"draining", m_draining.load()}}, response);
+}
+
+void BackendServer::HandleLoad(httplib::Response* response) const {
+  const int64_t fixed = m_load_fixed;
+  const int64_t in_use = fixed >= 0 ? fixed : m_slots.in_use();
+  SetJson({{"in_use", in_use},
+           {"waiting", fixed >= 0 ? 0 : m_slots.waiting()},
+           {"slots", m_slots.slots()}},
+          response);
+}
+
+bool BackendServer::IsHung() const { return m_hung; }
+
+void BackendServer::HandleCall(const httplib::Request& request,
+                               httplib::Response* response) {
+  const ServiceConfig* service =
+      m_options.config.FindService(m_options.service);
+  const std::string name = request.matches[1];
+  Call call{.method = service == nullptr ? nullptr : service->FindMethod(name),
+            .token = request.get_header_value("X-Vt-Call"),
+            .body = nlohmann::json::parse(request.body, nullptr, false),
+            .socket = PeerSocket(request.remote_port)};
+  if (call.method == nullptr) {
+    response->status = 404;
+    return;
+  }
+  if (!call.body.is_object()) {
+    response->status = 400;
+    return;
+  }
+  int64_t timeout_ms = 0;
+  if (!absl::SimpleAtoi(request.get_header_value("X-Vt-Timeout-Ms"),
+                        &timeout_ms)) {
+    timeout_ms = kDefaultTimeout.count();
+  }
+  call.deadline = BootClock::now() + milliseconds(timeout_ms);
+  call.id = call.body.value("id", "none");
+  const std::string above = call.body.value("path", "");
+  call.path = absl::StrCat(above, above.empty() ? "" : "/", m_options.service,
+                           ".", name);
+  if (m_draining) {
+    ++m_shed;
+    RefuseUnstarted("draining", response);
+    return;
+  }
+  const auto result = m_slots.Acquire(m_queue_limit, [&call] {
+    return call.IsExpired() || call.socket.IsClosedByClient();
+  });
+  if (result != SlotPool::Result::kAcquired) {
+    ++m_shed;
+    RefuseUnstarted(
+        result == SlotPool::Result::kQueueFull ? "queue full" : "expired",
+        response);
+    return;
+  }
+  Execute(&call, response);
+  m_slots.Release();
+}
+
+void BackendServer::Execute(Call* call, httplib::Response* response) {
+  const size_t record =
+      m_log.Start(call->id, call->body.value("use", 0U), call->path);
+  Duration duration;
+  {
+    const std::lock_guard lock(m_time_mutex);
+    duration = m_service_time.Draw(BootClock::now());
+  }
+  bool proceed = Work(call, duration);
+  if (!proceed) {
+    response->status = call->IsExpired() ? kStatusExpired : kStatusCancelled;
+    ++(call->IsExpired() ? m_expired : m_cancelled);
+  }
+  for (const std::string& target : call->method->calls) {
+    proceed = proceed && CallDownstream(call, target, response);
+  }
+  m_log.Finish(record, call->id, call->work_ms);
+  while (IsHung()) std::this_thread::sleep_for(kWorkStep);
+  if (!proceed) return;
+  call->body.erase("padding");
+  call->body["served_by"] = m_options.service;
+  SetJson(call->body, response);
+}
+
+bool BackendServer::Work(Call* call, Duration duration) {
+  const TimePoint start = BootClock::now();
+  const TimePoint end = start + duration;
+  bool proceed = true;
+  while (proceed && BootClock::now() < end) {
+    const Duration left = end - BootClock::now();
+    std::this_thread::sleep_for(std::min<Duration>(left, kWorkStep));
+    proceed = !call->IsExpired() && !call->socket.IsClosedByClient();
+  }
+  call->work_ms += ToMilliseconds(BootClock::now() - start);
+  return proceed;
+}
+
+bool BackendServer::CallDownstream(Call* call, const std::string& target,
+                                   httplib::Response* response) {
+  const size_t dot = target.find('.');
+  const std::string path =
+      "/" + target.substr(0, dot) + "/" + target.substr(dot + 1);
+  const Duration left = call->deadline - BootClock::now();
+  if (left <= Duration::zero()) {
+    ++m_expired;
+    response->status = kStatusExpired;
+    return false;
+  }
+  nlohmann::json body = call->body;
+  body["path"] = call->path;
+  const httplib::Headers headers = {{"X-Vt-Call", call->token}};
+  auto client = TakeClient();
+  client->set_read_timeout(
+      std::chrono::duration_cast<std::chrono::microseconds>(left));
+  const auto answer =
+      client->Post(path, headers, body.dump(), "application/json");
+  if (!answer) {
+    response->status = kStatusDownstreamFailed;
+    SetJson({{"error", httplib::to_string(answer.error())}}, response);
+    return false;
+  }
+  ReturnClient(std::move(client));
+  if (answer->status == 200 &&
+      answer->get_header_value("X-Vt-Outcome") == "complete") {
+    return true;
+  }
+  response->status = kStatusDownstreamFailed;
+  SetJson({{"error", "downstream call failed"},
+           {"call", target},
+           {"outcome", answer->get_header_value("X-Vt-Outcome")},
+           {"reason", answer->get_header_value("X-Vt-Reason")}},
+          response);
+  return false;
+}
+
+std::unique_ptr<httplib::Client> BackendServer::TakeClient() {
+  {
+    const std::lock_guard lock(m_clients_mutex);
+    if (!m_clients.empty()) {
+      auto client = std::move(m_clients.back());
+      m_clients.pop_back();
+      return client;
+    }
+  }
+  auto client = std::make_unique<httplib::Client>("http://" + m_options.node);
+  client->set_keep_alive(true);
+  client->set_tcp_nodelay(true);
+  return client;
+}
+
+void BackendServer::ReturnClient(std::unique_ptr<httplib::Client> client) {
+  const std::lock_guard lock(m_clients_mutex);
+  m_clients.push_back(std::move(client));
+}
+
+}  // namespace vanillatiller
--- /dev/null
+++ b/Source/vtstub/execution_log.cc
@@ -0,0 +1,40 @@
+#include "vtstub/execution_log.h"
+
+#include "absl/strings/str_cat.h"
+
+namespace vanillatiller {
+
+size_t ExecutionLog::Start(std::string id, uint32_t use, std::string path) {
+  const std::lock_guard lock(m_mutex);
+  m_records.push_back({std::move(id), use, std::move(path), 0});
+  return m_records.size() - 1;
+}
+
+void ExecutionLog::Finish(size_t position, const std::string& id,
+                          double work_ms) {
+  const std::lock_guard lock(m_mutex);
+  if (position >= m_records.size() || m_records[position].id != id) return;
+  m_records[position].work_ms = work_ms;
+}
+
+void ExecutionLog::Reset() {
+  const std::lock_guard lock(m_mutex);
+  m_records.clear();
+}
+
+std::string ExecutionLog::ToText() const {
+  const std::lock_guard lock(m_mutex);
+  std::string text;
+  for (const Record& record : m_records) {
+    absl::StrAppend(&text, record.id, " ", record.use, " ", record.path, " ",
+                    record.work_ms, "\n");
+  }
+  return text;
+}
+
+size_t ExecutionLog::size() const {
+  const std::lock_guard lock(m_mutex);
+  return m_records.size();
+}
+
+}  // namespace vanillatiller
--- /dev/null
+++ b/Source/vtstub/platform_server.h
@@ -0,0 +1,73 @@
+#ifndef VANILLATILLER_SOURCE_VTSTUB_PLATFORM_SERVER_H_
+#define VANILLATILLER_SOURCE_VTSTUB_PLATFORM_SERVER_H_
+
+#include <atomic>
+#include <condition_variable>
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <string>
+
+#include "vtstub/read_limiter.h"
+
+namespace httplib {
+class Server;
+struct Request;
+struct Response;
+}  // namespace httplib
+
+namespace vanillatiller {
+
+inline constexpr uint32_t kConfigReadsPerSecond = 2000;
+inline constexpr size_t kMaxConfigBytes = 1'000'000;
+
+// The platform: the configuration service (GET /v1/config) and the list of VMs
+// (GET /v1/vms); POST /control/FAULT (see Install) and GET /stats.
+class PlatformServer {
+ public:
+  // `vms` is the JSON array that GET /v1/vms answers.
+  explicit PlatformServer(nlohmann::json vms);
+
+  // Puts a value in force; false if it is larger than 1 MB. The value is not
+  // parsed, so that bad values can be served.
+  bool SetConfig(uint64_t version, std::string text);
+
+  // Adds the handlers to `server`, which must not outlive this object.
+  void Install(httplib::Server* server);
+
+ private:
+  struct VmList {
+    TimePoint since;
+    nlohmann::json vms;
+  };
+
+  void HandleConfig(const httplib::Request& request,
+                    httplib::Response* response);
+  void HandleVms(httplib::Response* response);
+  void HandleStats(httplib::Response* response);
+  void InstallControls(httplib::Server* server);
+  void ChangeVm(const std::string& vm, const std::string& state);
+  uint64_t ServedVersion() const;
+
+  std::mutex m_mutex;
+  std::condition_variable m_changed;
+  std::map<uint64_t, std::string> m_versions;
+  // Newest version that readers see while the service is stale.
+  uint64_t m_stale_version = UINT64_MAX;
+  bool m_down = false;
+  bool m_vms_down = false;
+  ReadLimiter m_limiter{kConfigReadsPerSecond};
+  // Newest last; readers see the newest that is older than m_vm_lag.
+  std::vector<VmList> m_vm_lists;
+  Duration m_vm_lag{0};
+  uint64_t m_reads = 0;
+  uint64_t m_refused = 0;
+  uint64_t m_vm_reads = 0;
+  uint64_t m_bytes = 0;
+  uint32_t m_most_watches = 0;
+};
+
+}  // namespace vanillatiller
+
+#endif  // VANILLATILLER_SOURCE_VTSTUB_PLATFORM_SERVER_H_
--- /dev/null
+++ b/Source/vtstub/read_limiter.h
@@ -0,0 +1,33 @@
+#ifndef VANILLATILLER_SOURCE_VTSTUB_READ_LIMITER_H_
+#define VANILLATILLER_SOURCE_VTSTUB_READ_LIMITER_H_
+
+#include <cstdint>
+#include <deque>
+
+#include "base/base.h"
+
+namespace vanillatiller {
+
+// The configuration service's limit on reads: each call counts for one second,
+// and a waiting watch counts for as long as it waits. Not thread-safe.
+class ReadLimiter {
+ public:
+  explicit ReadLimiter(uint32_t reads_per_second) : m_limit(reads_per_second) {}
+
+  // True if a read at `now` is within the limit; it then counts.
+  bool Admit(TimePoint now);
+  void StartWatch() { ++m_watches; }
+  void EndWatch() { --m_watches; }
+  void SetLimit(uint32_t reads_per_second) { m_limit = reads_per_second; }
+
+  uint32_t watches() const { return m_watches; }
+
+ private:
+  uint32_t m_limit;
+  uint32_t m_watches = 0;
+  std::deque<TimePoint> m_recent;
+};
+
+}  // namespace vanillatiller
+
+#endif  // VANILLATILLER_SOURCE_VTSTUB_READ_LIMITER_H_
--- /dev/null
+++ b/Source/vtstub/slot_pool.h
@@ -0,0 +1,42 @@
+#ifndef VANILLATILLER_SOURCE_VTSTUB_SLOT_POOL_H_
+#define VANILLATILLER_SOURCE_VTSTUB_SLOT_POOL_H_
+
+#include <condition_variable>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <mutex>
+
+#include "base/base.h"
+
+namespace vanillatiller {
+
+// The concurrent work of a backend server. Calls beyond the slots wait in
+// arrival order, as in a server with a fixed number of threads. Thread-safe.
+class SlotPool {
+ public:
+  enum class Result : uint8_t { kAcquired, kQueueFull, kGivenUp };
+
+  explicit SlotPool(uint32_t slots) : m_slots(slots) {}
+
+  // Waits for a slot. `queue_limit` is the number of calls that may wait.
+  // `give_up` is asked from time to time while the call waits.
+  Result Acquire(uint32_t queue_limit, const std::function<bool()>& give_up);
+  void Release();
+
+  uint32_t in_use() const;
+  uint32_t waiting() const;
+  uint32_t slots() const { return m_slots; }
+
+ private:
+  uint32_t m_slots;
+  mutable std::mutex m_mutex;
+  std::condition_variable m_changed;
+  uint32_t m_in_use = 0;
+  uint64_t m_next_position = 0;
+  std::deque<uint64_t> m_queue;
+};
+
+}  // namespace vanillatiller
+
+#endif  // VANILLATILLER_SOURCE_VTSTUB_SLOT_POOL_H_
--- /dev/null
+++ b/Tests/vtstub_test.cc
@@ -0,0 +1,302 @@
+#define BOOST_TEST_MODULE vtstub
+#include "vtstub/vtstub.h"
+
+#include <boost/test/unit_test.hpp>
+#include <thread>
+
+#include "httplib.h"
+#include "nlohmann/json.hpp"
+#include "vtstub/growing_task_queue.h"
+
+namespace vanillatiller {
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+constexpr char kConfig[] = R"(
+version = 1
+[[rank]]
+name = "urgent"
+order = 0
+[[service]]
+name = "a"
+[[service.method]]
+name = "get"
+rank = "urgent"
+idempotent = true
+calls = ["b.get"]
+[[service]]
+name = "b"
+[[service.method]]
+name = "get"
+rank = "urgent"
+idempotent = true
+)";
+
+// A server on a free port of the loopback interface.
+class TestServer {
+ public:
+  httplib::Server& server() { return m_server; }
+  const std::string& address() const { return m_address; }
+
+  TestServer() {
+    m_server.new_task_queue = [] { return new GrowingTaskQueue(64); };
+    m_server.set_keep_alive_timeout(1);
+    m_address =
+        "127.0.0.1:" + std::to_string(m_server.bind_to_any_port("127.0.0.1"));
+  }
+  ~TestServer() { Stop(); }
+
+  void Start() {
+    m_thread = std::thread([this] { m_server.listen_after_bind(); });
+    while (!m_server.is_running()) {
+      std::this_thread::sleep_for(milliseconds(1));
+    }
+  }
+  void Stop() {
+    m_server.stop();
+    if (m_thread.joinable()) m_thread.join();
+  }
+
+ private:
+  httplib::Server m_server;
+  std::string m_address;
+  std::thread m_thread;
+};
+
+// One backend server with its HTTP listener.
+class Backend {
+ public:
+  explicit Backend(const std::string& service, Duration service_time,
+                   const std::string& node = "127.0.0.1:1")
+      : m_backend(Options(service, service_time, node)) {
+    m_backend.Install(&m_http.server());
+    m_http.Start();
+  }
+  ~Backend() { m_http.Stop(); }
+
+  const std::string& address() const { return m_http.address(); }
+
+  httplib::Result Post(const std::string& path, const std::string& id = "r1",
+                       int timeout_ms = 5000) const {
+    httplib::Client client("http://" + address());
+    return client.Post(path,
+                       {{"X-Vt-Call", "token"},
+                        {"X-Vt-Timeout-Ms", std::to_string(timeout_ms)}},
+                       json({{"id", id}, {"use", 1}, {"path", ""}}).dump(),
+                       "application/json");
+  }
+  httplib::Result Get(const std::string& path) const {
+    return httplib::Client("http://" + address()).Get(path);
+  }
+  json Stats() const { return json::parse(Get("/stats")->body); }
+  void WaitFor(const char* counter, int value) const {
+    for (int i = 0; i < 2000 && Stats()[counter] != value; ++i) {
+      std::this_thread::sleep_for(milliseconds(5));
+    }
+    BOOST_TEST_REQUIRE(Stats()[counter] == value);
+  }
+
+ private:
+  static BackendOptions Options(const std::string& service, Duration time,
+                                const std::string& node) {
+    Findings findings;
+    return {.service = service,
+            .node = node,
+            .config = *ParseFleetConfig(kConfig, "t", &findings),
+            .slots = 1,
+            .service_time = time};
+  }
+
+  TestServer m_http;
+  BackendServer m_backend;
+};
+
+// Guards against executions that are not recorded, or recorded elsewhere in
+// the call tree than they happened, and against a lost X-Vt-Call.
+BOOST_AUTO_TEST_CASE(CallTreeIsRecorded) {
+  const Backend callee("b", milliseconds(1));
+  TestServer node;
+  std::string token;
+  node.server().Post("/b/get", [&](const httplib::Request& request,
+                                   httplib::Response& response) {
+    token = request.get_header_value("X-Vt-Call");
+    httplib::Client client("http://" + callee.address());
+    response.set_content(
+        client.Post("/b/get", request.body, "application/json")->body,
+        "application/json");
+    response.set_header("X-Vt-Outcome", "complete");
+  });
+  node.Start();
+  const Backend caller("a", milliseconds(1), node.address());
+  const auto answer = caller.Post("/a/get", "r7");
+  BOOST_TEST_REQUIRE(answer->status == 200);
+  BOOST_TEST(json::parse(answer->body)["id"] == "r7");
+  BOOST_TEST(token == "token");
+  BOOST_TEST(caller.Get("/executions")->body.find("r7 1 a.get ") == 0U);
+  BOOST_TEST(callee.Get("/executions")->body.find("r7 1 a.get/b.get ") == 0U);
+  caller.Post("/control/reset");
+  BOOST_TEST(caller.Get("/executions")->body == "");
+}
+
+// Guards against a downstream refusal that the caller sees as success.
+BOOST_AUTO_TEST_CASE(DownstreamRefusalFailsTheCall) {
+  TestServer node;
+  node.server().Post("/b/get", [](const auto&, httplib::Response& response) {
+    response.set_header("X-Vt-Outcome", "not-run");
+  });
+  node.Start();
+  const Backend caller("a", milliseconds(1), node.address());
+  const auto answer = caller.Post("/a/get");
+  BOOST_TEST(answer->status == 502);
+  BOOST_TEST(!answer->has_header("X-Vt-Shed"));
+}
+
+// Guards against calls that are said to be unstarted although they ran, or the
+// reverse, in each way that a server refuses work.
+BOOST_AUTO_TEST_CASE(ShedCallsDoNotRun) {
+  const Backend backend("b", milliseconds(0));
+  backend.Post("/control/drain?on=1");
+  BOOST_TEST(backend.Post("/b/get")->get_header_value("X-Vt-Shed") == "1");
+  BOOST_TEST(backend.Get("/health")->status == 503);
+  backend.Post("/control/drain?on=0");
+  BOOST_TEST(backend.Stats()["executions"] == 0);
+  BOOST_TEST(backend.Post("/b/get")->status == 200);
+
+  // One call holds the slot until it is let go.
+  backend.Post("/control/hang?on=1");
+  std::thread running([&] { backend.Post("/b/get", "held"); });
+  backend.WaitFor("executions", 2);
+  const auto expired = backend.Post("/b/get", "late", 30);
+  BOOST_TEST(expired->get_header_value("X-Vt-Shed") == "1");
+  backend.Post("/control/shed?queue=0");
+  const auto full = backend.Post("/b/get", "full");
+  BOOST_TEST(full->get_header_value("X-Vt-Shed") == "1");
+  backend.Post("/control/shed");
+  backend.Post("/control/hang?on=0");
+  running.join();
+  BOOST_TEST(backend.Stats()["executions"] == 2);
+  BOOST_TEST(backend.Stats()["shed"] == 3);
+}
+
+// Guards against servers that work on for a caller that has left or whose
+// deadline has passed.
+BOOST_AUTO_TEST_CASE(CancellationAndDeadline) {
+  const Backend backend("b", std::chrono::seconds(30));
+  BOOST_TEST(backend.Post("/b/get", "r1", 50)->status == 504);
+  BOOST_TEST(backend.Stats()["expired"] == 1);
+  {
+    httplib::Client client("http://" + backend.address());
+    client.set_read_timeout(milliseconds(100));
+    const auto answer = client.Post("/b/get", R"({"id":"r2"})", "text/plain");
+    BOOST_TEST(!answer);
+  }
+  backend.WaitFor("cancelled", 1);
+  backend.WaitFor("in_use", 0);
+}
+
+// Guards against health and load endpoints that cannot be made to mislead.
+BOOST_AUTO_TEST_CASE(FalseHealthAndLoad) {
+  const Backend backend("b", milliseconds(0));
+  BOOST_TEST(backend.Get("/health")->status == 200);
+  backend.Post("/control/health?value=0");
+  BOOST_TEST(backend.Get("/health")->status == 503);
+  backend.Post("/control/health");
+  BOOST_TEST(backend.Get("/health")->status == 200);
+  backend.Post("/control/load?in_use=7");
+  BOOST_TEST(json::parse(backend.Get("/load")->body)["in_use"] == 7);
+  backend.Post("/control/load");
+  BOOST_TEST(json::parse(backend.Get("/load")->body)["in_use"] == 0);
+}
+
+// Guards against service times that differ from run to run or ignore faults.
+BOOST_AUTO_TEST_CASE(ServiceTimes) {
+  const TimePoint now{std::chrono::hours(1)};
+  for (const char* name : {"constant", "exponential", "lognormal"}) {
+    ServiceTime first(*ParseServiceTimeShape(name), milliseconds(20), 3);
+    ServiceTime second(*ParseServiceTimeShape(name), milliseconds(20), 3);
+    double sum = 0;
+    for (int i = 0; i < 20'000; ++i) {
+      const Duration drawn = first.Draw(now);
+      BOOST_REQUIRE((drawn == second.Draw(now)));
+      sum += ToMilliseconds(drawn);
+    }
+    BOOST_TEST(std::abs(sum / 20'000 - 20) < 1.0, name);
+  }
+  ServiceTime time(ServiceTimeShape::kConstant, milliseconds(10), 1);
+  time.SetSlowFactor(3);
+  BOOST_TEST((time.Draw(now) == milliseconds(30)));
+  time.SetSlowFactor(1);
+  time.StartCold(5, milliseconds(100), now);
+  BOOST_TEST((time.Draw(now) == milliseconds(50)));
+  BOOST_TEST((time.Draw(now + milliseconds(50)) == milliseconds(30)));
+  BOOST_TEST((time.Draw(now + milliseconds(100)) == milliseconds(10)));
+}
+
+// Guards against a read limit that forgets waiting watches.
+BOOST_AUTO_TEST_CASE(ReadLimit) {
+  const TimePoint now{std::chrono::hours(1)};
+  ReadLimiter limiter(3);
+  limiter.StartWatch();
+  BOOST_TEST(limiter.Admit(now));
+  BOOST_TEST(limiter.Admit(now));
+  BOOST_TEST(!limiter.Admit(now + milliseconds(999)));
+  BOOST_TEST(limiter.Admit(now + milliseconds(1000)));
+  limiter.EndWatch();
+  BOOST_TEST(limiter.Admit(now + milliseconds(1000)));
+}
+
+// Guards against a platform stub whose interface differs from the design page.
+BOOST_AUTO_TEST_CASE(PlatformContract) {
+  PlatformServer platform(
+      json::parse(R"([{"vm":"v1","state":"live"},{"vm":"v2"}])"));
+  BOOST_TEST(platform.SetConfig(1, "version = 1\n"));
+  BOOST_TEST(!platform.SetConfig(2, std::string(kMaxConfigBytes + 1, '#')));
+  TestServer http;
+  platform.Install(&http.server());
+  http.Start();
+  httplib::Client client("http://" + http.address());
+  const auto status = [&](const char* path) {
+    return client.Get(path)->status;
+  };
+  const auto control = [&](const std::string& path, const char* body = "") {
+    return client.Post("/control/" + path, body, "text/plain")->status;
+  };
+  const auto first = client.Get("/v1/config?after=0");
+  BOOST_TEST(first->status == 200);
+  BOOST_TEST(first->get_header_value("X-Config-Version") == "1");
+  BOOST_TEST(first->body == "version = 1\n");
+  BOOST_TEST(status("/v1/config?after=1&wait_ms=20") == 204);
+
+  // A waiting watch answers as soon as there is something newer.
+  std::thread watch([&] {
+    httplib::Client watcher("http://" + http.address());
+    watcher.set_read_timeout(std::chrono::seconds(20));
+    const auto answer = watcher.Get("/v1/config?after=1&wait_ms=15000");
+    BOOST_TEST(answer->get_header_value("X-Config-Version") == "2");
+  });
+  BOOST_TEST(control("config?version=2", "version = 2\n") == 200);
+  watch.join();
+
+  BOOST_TEST(control("stale?on=1") == 200);
+  BOOST_TEST(control("config?version=3", "version = 3\n") == 200);
+  BOOST_TEST(status("/v1/config?after=2") == 204);
+  BOOST_TEST(control("stale?on=0") == 200);
+  BOOST_TEST(status("/v1/config?after=2") == 200);
+  BOOST_TEST(control("down?on=1") == 200);
+  BOOST_TEST(status("/v1/config?after=0") == 503);
+  BOOST_TEST(control("down?on=0") == 200);
+  BOOST_TEST(control("rate?limit=0") == 200);
+  BOOST_TEST(status("/v1/config?after=0") == 429);
+
+  BOOST_TEST(control("vm?name=v2&state=gone") == 200);
+  BOOST_TEST(json::parse(client.Get("/v1/vms")->body).size() == 1U);
+  BOOST_TEST(control("vm_lag?ms=600000") == 200);
+  BOOST_TEST(json::parse(client.Get("/v1/vms")->body).size() == 2U);
+  BOOST_TEST(control("vms_down?on=1") == 200);
+  BOOST_TEST(status("/v1/vms") == 503);
+}
+
+}  // namespace
+}  // namespace vanillatiller
