--- a/Source/vtstub/backend_server.cc
+++ b/Source/vtstub/backend_server.cc
@@ -49,31 +49,33 @@
 
 // One call while it is in the server.
 struct BackendServer::Call {
-  const MethodConfig* method = nullptr;
+  std::string service;
+  std::string method;
   std::string token;
+  std::string request;
+  std::string text;
+  // The JSON object in `text`; null if it holds none with an "id".
   nlohmann::json body;
-  std::string id;
   std::string path;
   TimePoint deadline;
   PeerSocket socket;
   double work_ms = 0;
+  nlohmann::json downstream = nlohmann::json::array();
 
   bool IsExpired() const { return BootClock::now() >= deadline; }
+  std::string id() const {
+    return body.is_object() ? body.value("id", request) : request;
+  }
 };
 
 BackendServer::BackendServer(BackendOptions options)
     : m_options(std::move(options)),
-      m_slots(m_options.slots),
+      m_slots(m_options.slots == 0 ? UINT32_MAX : m_options.slots),
       m_service_time(m_options.shape, m_options.service_time, m_options.seed) {}
 
 BackendServer::~BackendServer() = default;
 
 void BackendServer::Install(httplib::Server* server) {
-  server->Post(
-      "/" + m_options.service + "/([A-Za-z0-9_-]+)",
-      [this](const httplib::Request& request, httplib::Response& response) {
-        HandleCall(request, &response);
-      });
   server->Get("/health", [this](const auto&, httplib::Response& response) {
     HandleHealth(&response);
   });
@@ -83,6 +85,10 @@
   server->Get("/executions", [this](const auto&, httplib::Response& response) {
     response.set_content(m_log.ToText(), "text/plain");
   });
+  server->Get("/control/executions",
+              [this](const auto&, httplib::Response& response) {
+                response.set_content(m_log.ToCounts(), "application/json");
+              });
   server->Get("/stats", [this](const auto&, httplib::Response& response) {
     SetJson({{"in_use", m_slots.in_use()},
              {"waiting", m_slots.waiting()},
@@ -93,6 +99,10 @@
             &response);
   });
   InstallControls(server);
+  server->Post("/([^/]+)/([^/]+)", [this](const httplib::Request& request,
+                                          httplib::Response& response) {
+    HandleCall(request, &response);
+  });
 }
 
 void BackendServer::InstallControls(httplib::Server* server) {
@@ -105,6 +115,11 @@
                    response.set_content("ok\n", "text/plain");
                  });
   };
+  // service_time_ms/N: a new mean service time.
+  add("service_time_ms/(\\d+)", [this](const Request& request) {
+    const std::lock_guard lock(m_time_mutex);
+    m_service_time.SetMean(milliseconds(std::stoll(request.matches[1])));
+  });
   // slow?factor=F: multiplies service times.
   add("slow", [this](const Request& request) {
     const std::lock_guard lock(m_time_mutex);
@@ -167,31 +182,24 @@
 
 void BackendServer::HandleCall(const httplib::Request& request,
                                httplib::Response* response) {
-  const ServiceConfig* service =
-      m_options.config.FindService(m_options.service);
-  const std::string name = request.matches[1];
-  Call call{.method = service == nullptr ? nullptr : service->FindMethod(name),
+  Call call{.service = request.matches[1],
+            .method = request.matches[2],
             .token = request.get_header_value("X-Vt-Call"),
+            .request = request.get_header_value("X-Vt-Request"),
+            .text = request.body,
             .body = nlohmann::json::parse(request.body, nullptr, false),
             .socket = PeerSocket(request.remote_port)};
-  if (call.method == nullptr) {
-    response->status = 404;
-    return;
-  }
-  if (!call.body.is_object()) {
-    response->status = 400;
-    return;
-  }
+  if (!call.body.is_object() || !call.body.contains("id")) call.body = nullptr;
   int64_t timeout_ms = 0;
   if (!absl::SimpleAtoi(request.get_header_value("X-Vt-Timeout-Ms"),
                         &timeout_ms)) {
     timeout_ms = kDefaultTimeout.count();
   }
   call.deadline = BootClock::now() + milliseconds(timeout_ms);
-  call.id = call.body.value("id", "none");
-  const std::string above = call.body.value("path", "");
-  call.path = absl::StrCat(above, above.empty() ? "" : "/", m_options.service,
-                           ".", name);
+  const std::string above =
+      call.body.is_object() ? call.body.value("path", "") : "";
+  call.path = absl::StrCat(above, above.empty() ? "" : "/", call.service, ".",
+                           call.method);
   if (m_draining) {
     ++m_shed;
     RefuseUnstarted("draining", response);
@@ -212,8 +220,12 @@
 }
 
 void BackendServer::Execute(Call* call, httplib::Response* response) {
-  const size_t record =
-      m_log.Start(call->id, call->body.value("use", 0U), call->path);
+  const size_t record = m_log.Start(
+      {.request = call->request,
+       .id = call->id(),
+       .use = call->body.is_object() ? call->body.value("use", 0U) : 0,
+       .path = call->path,
+       .method = call->method});
   Duration duration;
   {
     const std::lock_guard lock(m_time_mutex);
@@ -224,15 +236,22 @@
     response->status = call->IsExpired() ? kStatusExpired : kStatusCancelled;
     ++(call->IsExpired() ? m_expired : m_cancelled);
   }
-  for (const std::string& target : call->method->calls) {
-    proceed = proceed && CallDownstream(call, target, response);
+  const auto calls = m_options.calls.find(call->method);
+  if (calls != m_options.calls.end()) {
+    for (const std::string& target : calls->second) {
+      proceed = proceed && CallDownstream(call, target, response);
+    }
   }
-  m_log.Finish(record, call->id, call->work_ms);
+  m_log.Finish(record, call->id(), call->work_ms);
   while (IsHung()) std::this_thread::sleep_for(kWorkStep);
   if (!proceed) return;
-  call->body.erase("padding");
-  call->body["served_by"] = m_options.service;
-  SetJson(call->body, response);
+  SetJson({{"server", m_options.name},
+           {"service", call->service},
+           {"method", call->method},
+           {"request", call->request},
+           {"id", call->id()},
+           {"calls", call->downstream}},
+          response);
 }
 
 bool BackendServer::Work(Call* call, Duration duration) {
@@ -259,14 +278,16 @@
     response->status = kStatusExpired;
     return false;
   }
-  nlohmann::json body = call->body;
-  body["path"] = call->path;
+  std::string body = call->text;
+  if (call->body.is_object()) {
+    call->body["path"] = call->path;
+    body = call->body.dump();
+  }
   const httplib::Headers headers = {{"X-Vt-Call", call->token}};
   auto client = TakeClient();
   client->set_read_timeout(
       std::chrono::duration_cast<std::chrono::microseconds>(left));
-  const auto answer =
-      client->Post(path, headers, body.dump(), "application/json");
+  const auto answer = client->Post(path, headers, body, "application/json");
   if (!answer) {
     response->status = kStatusDownstreamFailed;
     SetJson({{"error", httplib::to_string(answer.error())}}, response);
@@ -275,6 +296,8 @@
   ReturnClient(std::move(client));
   if (answer->status == 200 &&
       answer->get_header_value("X-Vt-Outcome") == "complete") {
+    call->downstream.push_back(
+        nlohmann::json::parse(answer->body, nullptr, false));
     return true;
   }
   response->status = kStatusDownstreamFailed;
@@ -295,7 +318,8 @@
       return client;
     }
   }
-  auto client = std::make_unique<httplib::Client>("http://" + m_options.node);
+  auto client =
+      std::make_unique<httplib::Client>(m_options.node_ip, m_options.node_port);
   client->set_keep_alive(true);
   client->set_tcp_nodelay(true);
   return client;
--- a/Source/vtstub/backend_server.h
+++ b/Source/vtstub/backend_server.h
@@ -3,12 +3,12 @@
 
 #include <atomic>
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <string>
 #include <vector>
 
-#include "fleetconfig/fleetconfig.h"
 #include "vtstub/execution_log.h"
 #include "vtstub/service_time.h"
 #include "vtstub/slot_pool.h"
@@ -23,19 +23,24 @@
 namespace vanillatiller {
 
 struct BackendOptions {
-  std::string service;
-  // "HOST:PORT" of the local listener of the server's node.
-  std::string node;
-  // Declares the methods and their downstream calls.
-  FleetConfig config;
-  uint32_t slots = 1;
+  // Given in answers.
+  std::string name;
+  // The local listener of the server's node.
+  std::string node_ip = "127.0.0.1";
+  int node_port = 0;
+  // Downstream calls ("SERVICE.METHOD") by method, made one after the other.
+  std::map<std::string, std::vector<std::string>> calls;
+  // Concurrent calls; 0 means no limit.
+  uint32_t slots = 0;
   ServiceTimeShape shape = ServiceTimeShape::kConstant;
   Duration service_time{0};
   uint64_t seed = 1;
 };
 
 // A backend server: POST /SERVICE/METHOD works for a while, makes the method's
-// downstream calls through the node and answers with the request's JSON body.
+// downstream calls through the node and answers with a JSON object: "server",
+// "service", "method", "request" (its identity), "id" (from the request's
+// body) and "calls" (the answers of the downstream calls).
 //
 // It holds a slot from the start of its work to the answer. It answers 503
 // with X-Vt-Shed: 1 if the call was not started: while it drains, when its
--- a/Source/vtstub/execution_log.cc
+++ b/Source/vtstub/execution_log.cc
@@ -1,12 +1,15 @@
 #include "vtstub/execution_log.h"
 
+#include <map>
+#include <nlohmann/json.hpp>
+
 #include "absl/strings/str_cat.h"
 
 namespace vanillatiller {
 
-size_t ExecutionLog::Start(std::string id, uint32_t use, std::string path) {
+size_t ExecutionLog::Start(Execution execution) {
   const std::lock_guard lock(m_mutex);
-  m_records.push_back({std::move(id), use, std::move(path), 0});
+  m_records.push_back(std::move(execution));
   return m_records.size() - 1;
 }
 
@@ -25,13 +28,22 @@
 std::string ExecutionLog::ToText() const {
   const std::lock_guard lock(m_mutex);
   std::string text;
-  for (const Record& record : m_records) {
+  for (const Execution& record : m_records) {
     absl::StrAppend(&text, record.id, " ", record.use, " ", record.path, " ",
                     record.work_ms, "\n");
   }
   return text;
 }
 
+std::string ExecutionLog::ToCounts() const {
+  const std::lock_guard lock(m_mutex);
+  std::map<std::string, uint32_t> counts;
+  for (const Execution& record : m_records) {
+    ++counts[record.request + " " + record.method];
+  }
+  return nlohmann::json(counts).dump();
+}
+
 size_t ExecutionLog::size() const {
   const std::lock_guard lock(m_mutex);
   return m_records.size();
--- a/Source/vtstub/main.cc
+++ b/Source/vtstub/main.cc
@@ -5,26 +5,29 @@
 
 #include <fstream>
 #include <iostream>
+#include <map>
 #include <sstream>
 
 #include "absl/flags/flag.h"
 #include "absl/flags/parse.h"
 #include "absl/flags/usage.h"
-#include "absl/strings/numbers.h"
+#include "absl/strings/str_split.h"
 #include "httplib.h"
 #include "vtstub/growing_task_queue.h"
 #include "vtstub/vtstub.h"
 
 ABSL_FLAG(std::string, mode, "backend", "backend or platform");
-ABSL_FLAG(std::string, listen, "127.0.0.1:0", "HOST:PORT of the HTTP listener");
-ABSL_FLAG(std::string, config, "", "file with the configuration value");
+ABSL_FLAG(std::string, ip, "127.0.0.1", "IP number to listen on");
+ABSL_FLAG(int, port, 0, "port to listen on");
+ABSL_FLAG(std::string, config, "", "platform: file with the configuration");
 ABSL_FLAG(std::string, vms, "", "platform: file with the JSON list of VMs");
-ABSL_FLAG(std::string, service, "", "backend: name of the service");
-ABSL_FLAG(std::string, node, "",
-          "backend: HOST:PORT of its node's local "
-          "listener");
-ABSL_FLAG(uint32_t, slots, 8, "backend: concurrent calls");
-ABSL_FLAG(double, service_ms, 20, "backend: mean service time");
+ABSL_FLAG(std::string, name, "backend", "backend: name given in answers");
+ABSL_FLAG(int, node_port, 0, "backend: port of the node's local listener");
+ABSL_FLAG(std::string, calls, "",
+          "backend: downstream calls by method, for example "
+          "\"book=ledger.charge,records.append;show=records.find\"");
+ABSL_FLAG(uint32_t, slots, 0, "backend: concurrent calls; 0: no limit");
+ABSL_FLAG(double, service_ms, 0, "backend: mean service time");
 ABSL_FLAG(std::string, distribution, "constant",
           "backend: constant, exponential or lognormal service times");
 ABSL_FLAG(uint64_t, seed, 1, "backend: seed of the service times");
@@ -56,45 +59,39 @@
 }
 
 int Listen(httplib::Server* server) {
-  const std::string listen = absl::GetFlag(FLAGS_listen);
-  const size_t colon = listen.rfind(':');
-  int port = 0;
-  if (colon == std::string::npos ||
-      !absl::SimpleAtoi(listen.substr(colon + 1), &port)) {
-    std::cerr << "vtstub: --listen is not HOST:PORT: " << listen << "\n";
-    return 1;
-  }
   server->new_task_queue = [] {
     return new GrowingTaskQueue(absl::GetFlag(FLAGS_threads));
   };
   server->set_keep_alive_max_count(kKeepAliveRequests);
   server->set_keep_alive_timeout(kKeepAliveSeconds);
   server->set_tcp_nodelay(true);
-  if (server->listen(listen.substr(0, colon), port)) return 0;
-  std::cerr << "vtstub: cannot listen on " << listen << "\n";
+  const int port = absl::GetFlag(FLAGS_port);
+  if (server->listen(absl::GetFlag(FLAGS_ip), port)) return 0;
+  std::cerr << "vtstub: cannot listen on port " << port << "\n";
   return 1;
 }
 
-std::optional<FleetConfig> ReadConfig(std::string* text) {
-  const std::string path = absl::GetFlag(FLAGS_config);
-  const auto content = ReadFile(path);
-  if (!content) return std::nullopt;
-  *text = *content;
-  Findings findings;
-  auto config = ParseFleetConfig(*text, path, &findings);
-  if (!config) std::cerr << FormatFindings(findings);
-  return config;
+std::map<std::string, std::vector<std::string>> ParseCalls(
+    const std::string& text) {
+  std::map<std::string, std::vector<std::string>> calls;
+  for (const auto& part : absl::StrSplit(text, ';', absl::SkipEmpty())) {
+    const std::pair<std::string, std::string> entry =
+        absl::StrSplit(part, absl::MaxSplits('=', 1));
+    calls[entry.first] = absl::StrSplit(entry.second, ',');
+  }
+  return calls;
 }
 
-int RunBackend(const FleetConfig& config) {
+int RunBackend() {
   const auto shape = ParseServiceTimeShape(absl::GetFlag(FLAGS_distribution));
   if (!shape) {
     std::cerr << "vtstub: unknown --distribution\n";
     return 1;
   }
-  BackendServer backend({.service = absl::GetFlag(FLAGS_service),
-                         .node = absl::GetFlag(FLAGS_node),
-                         .config = config,
+  BackendServer backend({.name = absl::GetFlag(FLAGS_name),
+                         .node_ip = absl::GetFlag(FLAGS_ip),
+                         .node_port = absl::GetFlag(FLAGS_node_port),
+                         .calls = ParseCalls(absl::GetFlag(FLAGS_calls)),
                          .slots = absl::GetFlag(FLAGS_slots),
                          .shape = *shape,
                          .service_time = std::chrono::duration_cast<Duration>(
@@ -106,16 +103,17 @@
   return Listen(&server);
 }
 
-int RunPlatform(const FleetConfig& config, const std::string& text) {
+int RunPlatform() {
+  const auto config = ReadFile(absl::GetFlag(FLAGS_config));
   const auto list = ReadFile(absl::GetFlag(FLAGS_vms));
-  if (!list) return 1;
+  if (!config || !list) return 1;
   auto vms = nlohmann::json::parse(*list, nullptr, false);
   if (!vms.is_array()) {
     std::cerr << "vtstub: --vms is not a JSON array\n";
     return 1;
   }
   PlatformServer platform(std::move(vms));
-  if (!platform.SetConfig(config.version, text)) {
+  if (!platform.SetConfig(*config)) {
     std::cerr << "vtstub: --config is larger than 1 MB\n";
     return 1;
   }
@@ -127,12 +125,9 @@
 int Main() {
   signal(SIGPIPE, SIG_IGN);
   RaiseFileLimit();
-  std::string text;
-  const auto config = ReadConfig(&text);
-  if (!config) return 1;
   const std::string mode = absl::GetFlag(FLAGS_mode);
-  if (mode == "backend") return RunBackend(*config);
-  if (mode == "platform") return RunPlatform(*config, text);
+  if (mode == "backend") return RunBackend();
+  if (mode == "platform") return RunPlatform();
   std::cerr << "vtstub: no mode \"" << mode << "\"\n";
   return 1;
 }
--- a/Source/vtstub/platform_server.cc
+++ b/Source/vtstub/platform_server.cc
@@ -1,6 +1,7 @@
 #include "vtstub/platform_server.h"
 
 #include <algorithm>
+#include <cstdlib>
 
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
@@ -23,14 +24,23 @@
                                                                  : fallback;
 }
 
+// The number of the value's version line; 0 if there is none.
+uint64_t VersionOf(const std::string& text) {
+  static constexpr std::string_view kField = "version = ";
+  const size_t found = text.find(kField);
+  if (found == std::string::npos) return 0;
+  return std::strtoull(text.c_str() + found + kField.size(), nullptr, 10);
+}
+
 }  // namespace
 
 PlatformServer::PlatformServer(json vms) {
   m_vm_lists.push_back({TimePoint(), std::move(vms)});
 }
 
-bool PlatformServer::SetConfig(uint64_t version, std::string text) {
+bool PlatformServer::SetConfig(std::string text) {
   if (text.size() > kMaxConfigBytes) return false;
+  const uint64_t version = VersionOf(text);
   const std::lock_guard lock(m_mutex);
   m_versions[version] = std::move(text);
   m_changed.notify_all();
@@ -65,11 +75,9 @@
           response.set_content(error.empty() ? "ok\n" : error, "text/plain");
         });
   };
-  // config?version=V with the value as body: a new version.
+  // config with the value as body: puts it in force.
   add("config", [this](const Request& request) -> std::string {
-    const uint64_t version = CountParameter(request, "version", 0);
-    if (version == 0) return "version is missing\n";
-    return SetConfig(version, request.body) ? "" : "value above 1 MB\n";
+    return SetConfig(request.body) ? "" : "value above 1 MB\n";
   });
   // down?on=0|1: /v1/config answers 503, waiting watches too.
   add("down", [this](const Request& request) -> std::string {
--- a/Source/vtstub/platform_server.h
+++ b/Source/vtstub/platform_server.h
@@ -29,9 +29,10 @@
   // `vms` is the JSON array that GET /v1/vms answers.
   explicit PlatformServer(nlohmann::json vms);
 
-  // Puts a value in force; false if it is larger than 1 MB. The value is not
-  // parsed, so that bad values can be served.
-  bool SetConfig(uint64_t version, std::string text);
+  // Puts a value in force under the version of its "version = N" line; false
+  // if it is larger than 1 MB. The rest of the value is not parsed, so that
+  // bad values can be served.
+  bool SetConfig(std::string text);
 
   // Adds the handlers to `server`, which must not outlive this object.
   void Install(httplib::Server* server);
--- a/Source/vtstub/service_time.h
+++ b/Source/vtstub/service_time.h
@@ -23,6 +23,8 @@
   // The next service time, with slowness and cold start applied.
   Duration Draw(TimePoint now);
 
+  void SetMean(Duration mean) { m_mean = mean; }
+
   // Multiplies service times; 1 is normal.
   void SetSlowFactor(double factor) { m_slow_factor = factor; }
 
--- a/Tests/vtstub_test.cc
+++ b/Tests/vtstub_test.cc
@@ -14,37 +14,17 @@
 using nlohmann::json;
 using std::chrono::milliseconds;
 
-constexpr char kConfig[] = R"(
-version = 1
-[[rank]]
-name = "urgent"
-order = 0
-[[service]]
-name = "a"
-[[service.method]]
-name = "get"
-rank = "urgent"
-idempotent = true
-calls = ["b.get"]
-[[service]]
-name = "b"
-[[service.method]]
-name = "get"
-rank = "urgent"
-idempotent = true
-)";
-
 // A server on a free port of the loopback interface.
 class TestServer {
  public:
   httplib::Server& server() { return m_server; }
-  const std::string& address() const { return m_address; }
+  int port() const { return m_port; }
+  std::string address() const { return "127.0.0.1:" + std::to_string(m_port); }
 
   TestServer() {
     m_server.new_task_queue = [] { return new GrowingTaskQueue(64); };
     m_server.set_keep_alive_timeout(1);
-    m_address =
-        "127.0.0.1:" + std::to_string(m_server.bind_to_any_port("127.0.0.1"));
+    m_port = m_server.bind_to_any_port("127.0.0.1");
   }
   ~TestServer() { Stop(); }
 
@@ -61,22 +41,25 @@
 
  private:
   httplib::Server m_server;
-  std::string m_address;
+  int m_port = 0;
   std::thread m_thread;
 };
 
 // One backend server with its HTTP listener.
 class Backend {
  public:
-  explicit Backend(const std::string& service, Duration service_time,
-                   const std::string& node = "127.0.0.1:1")
-      : m_backend(Options(service, service_time, node)) {
+  explicit Backend(Duration service_time, int node_port = 1)
+      : m_backend({.name = "test",
+                   .node_port = node_port,
+                   .calls = {{"get_deep", {"b.get"}}},
+                   .slots = 1,
+                   .service_time = service_time}) {
     m_backend.Install(&m_http.server());
     m_http.Start();
   }
   ~Backend() { m_http.Stop(); }
 
-  const std::string& address() const { return m_http.address(); }
+  std::string address() const { return m_http.address(); }
 
   httplib::Result Post(const std::string& path, const std::string& id = "r1",
                        int timeout_ms = 5000) const {
@@ -99,16 +82,6 @@
   }
 
  private:
-  static BackendOptions Options(const std::string& service, Duration time,
-                                const std::string& node) {
-    Findings findings;
-    return {.service = service,
-            .node = node,
-            .config = *ParseFleetConfig(kConfig, "t", &findings),
-            .slots = 1,
-            .service_time = time};
-  }
-
   TestServer m_http;
   BackendServer m_backend;
 };
@@ -116,7 +89,7 @@
 // Guards against executions that are not recorded, or recorded elsewhere in
 // the call tree than they happened, and against a lost X-Vt-Call.
 BOOST_AUTO_TEST_CASE(CallTreeIsRecorded) {
-  const Backend callee("b", milliseconds(1));
+  const Backend callee(milliseconds(1));
   TestServer node;
   std::string token;
   node.server().Post("/b/get", [&](const httplib::Request& request,
@@ -129,13 +102,15 @@
     response.set_header("X-Vt-Outcome", "complete");
   });
   node.Start();
-  const Backend caller("a", milliseconds(1), node.address());
-  const auto answer = caller.Post("/a/get", "r7");
+  const Backend caller(milliseconds(1), node.port());
+  const auto answer = caller.Post("/a/get_deep", "r7");
   BOOST_TEST_REQUIRE(answer->status == 200);
   BOOST_TEST(json::parse(answer->body)["id"] == "r7");
   BOOST_TEST(token == "token");
-  BOOST_TEST(caller.Get("/executions")->body.find("r7 1 a.get ") == 0U);
-  BOOST_TEST(callee.Get("/executions")->body.find("r7 1 a.get/b.get ") == 0U);
+  BOOST_TEST(caller.Get("/executions")->body.find("r7 1 a.get_deep ") == 0U);
+  BOOST_TEST(callee.Get("/executions")->body.find("r7 1 a.get_deep/b.get ") ==
+             0U);
+  BOOST_TEST(json::parse(caller.Get("/control/executions")->body).size() == 1U);
   caller.Post("/control/reset");
   BOOST_TEST(caller.Get("/executions")->body == "");
 }
@@ -147,8 +122,8 @@
     response.set_header("X-Vt-Outcome", "not-run");
   });
   node.Start();
-  const Backend caller("a", milliseconds(1), node.address());
-  const auto answer = caller.Post("/a/get");
+  const Backend caller(milliseconds(1), node.port());
+  const auto answer = caller.Post("/a/get_deep");
   BOOST_TEST(answer->status == 502);
   BOOST_TEST(!answer->has_header("X-Vt-Shed"));
 }
@@ -156,7 +131,7 @@
 // Guards against calls that are said to be unstarted although they ran, or the
 // reverse, in each way that a server refuses work.
 BOOST_AUTO_TEST_CASE(ShedCallsDoNotRun) {
-  const Backend backend("b", milliseconds(0));
+  const Backend backend(milliseconds(0));
   backend.Post("/control/drain?on=1");
   BOOST_TEST(backend.Post("/b/get")->get_header_value("X-Vt-Shed") == "1");
   BOOST_TEST(backend.Get("/health")->status == 503);
@@ -183,7 +158,7 @@
 // Guards against servers that work on for a caller that has left or whose
 // deadline has passed.
 BOOST_AUTO_TEST_CASE(CancellationAndDeadline) {
-  const Backend backend("b", std::chrono::seconds(30));
+  const Backend backend(std::chrono::seconds(30));
   BOOST_TEST(backend.Post("/b/get", "r1", 50)->status == 504);
   BOOST_TEST(backend.Stats()["expired"] == 1);
   {
@@ -198,7 +173,7 @@
 
 // Guards against health and load endpoints that cannot be made to mislead.
 BOOST_AUTO_TEST_CASE(FalseHealthAndLoad) {
-  const Backend backend("b", milliseconds(0));
+  const Backend backend(milliseconds(0));
   BOOST_TEST(backend.Get("/health")->status == 200);
   backend.Post("/control/health?value=0");
   BOOST_TEST(backend.Get("/health")->status == 503);
@@ -251,8 +226,8 @@
 BOOST_AUTO_TEST_CASE(PlatformContract) {
   PlatformServer platform(
       json::parse(R"([{"vm":"v1","state":"live"},{"vm":"v2"}])"));
-  BOOST_TEST(platform.SetConfig(1, "version = 1\n"));
-  BOOST_TEST(!platform.SetConfig(2, std::string(kMaxConfigBytes + 1, '#')));
+  BOOST_TEST(platform.SetConfig("version = 1\n"));
+  BOOST_TEST(!platform.SetConfig(std::string(kMaxConfigBytes + 1, '#')));
   TestServer http;
   platform.Install(&http.server());
   http.Start();
@@ -276,11 +251,11 @@
     const auto answer = watcher.Get("/v1/config?after=1&wait_ms=15000");
     BOOST_TEST(answer->get_header_value("X-Config-Version") == "2");
   });
-  BOOST_TEST(control("config?version=2", "version = 2\n") == 200);
+  BOOST_TEST(control("config", "version = 2\n") == 200);
   watch.join();
 
   BOOST_TEST(control("stale?on=1") == 200);
-  BOOST_TEST(control("config?version=3", "version = 3\n") == 200);
+  BOOST_TEST(control("config", "version = 3\n") == 200);
   BOOST_TEST(status("/v1/config?after=2") == 204);
   BOOST_TEST(control("stale?on=0") == 200);
   BOOST_TEST(status("/v1/config?after=2") == 200);
