--- a/Source/fleetconfig/fleet_config.h
+++ b/Source/fleetconfig/fleet_config.h
@@ -101,12 +101,22 @@
   bool operator==(const FleetConfig&) const = default;
 };
 
+// Largest value, in bytes, that the configuration service holds.
+inline constexpr size_t kMaxValueBytes = 1'000'000;
+
 // Parses a TOML value. `source` names it in findings. Returns nullopt if there
-// is any finding; all findings are reported, not only the first.
+// is any finding; all findings are reported, not only the first. The result is
+// in canonical order. Checks fields and types only; see LoadFleetConfig.
 std::optional<FleetConfig> ParseFleetConfig(std::string_view text,
                                             std::string_view source,
                                             Findings* findings);
 
+// Parses a TOML value and checks its meaning. A value that a node accepts has
+// passed this function. Findings of both kinds are reported together.
+std::optional<FleetConfig> LoadFleetConfig(std::string_view text,
+                                           std::string_view source,
+                                           Findings* findings);
+
 }  // namespace vanillatiller
 
 #endif  // VANILLATILLER_SOURCE_FLEETCONFIG_FLEET_CONFIG_H_
