Fleetconfig: Add checks, canonical form, digest and release notes

Cause: nodes and operators need one meaning of "the same value", and a change of a 1 MB value must not cost a transfer of the value.

ReleaseNote lists added, changed and withdrawn items; the same note is the delta between nodes. ApplyNote checks standing, items, the meaning of the result and its digest.

--- /dev/null
+++ b/Source/fleetconfig/note_applier.h
@@ -0,0 +1,70 @@
+#ifndef VANILLATILLER_SOURCE_FLEETCONFIG_NOTE_APPLIER_H_
+#define VANILLATILLER_SOURCE_FLEETCONFIG_NOTE_APPLIER_H_
+
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "fleetconfig/config_checker.h"
+#include "fleetconfig/item_table.h"
+#include "fleetconfig/release_note.h"
+
+namespace vanillatiller {
+
+// Applies one note to a copy of one base and collects every fault.
+class NoteApplier {
+ public:
+  NoteApplier(const FleetConfig& base, const ReleaseNote& note,
+              std::string_view source);
+
+  // Returns the result; its contents have a meaning only if there are no
+  // findings.
+  FleetConfig Run(Findings* findings);
+
+ private:
+  void Report(Place place, std::string text);
+  void ReportItem(const NoteItem& item, std::string_view fault);
+  // False if the items cannot be judged against this base.
+  bool CheckStanding();
+  void CheckDuplicates();
+  void ApplyItems();
+  void ApplyChain(const NoteItem& item);
+  template <typename T>
+  void ApplyNamed(ItemTable<T>& table, const NoteItem& item);
+  // `name` is the name within the table; `fields` is null for a withdrawn item.
+  template <typename T>
+  void ApplyTo(ItemTable<T>& table, const NoteItem& item,
+               const std::string& name, const T* fields);
+  void ApplyService(const NoteItem& item);
+  void CheckMethodsWithdrawn(const NoteItem& item);
+  void ApplyMethod(const NoteItem& item);
+  void CheckIdempotentFlags();
+  void CheckFlagsAgainst(const FleetConfig& value, std::string_view which);
+  ItemTable<MethodConfig>* MethodsOf(const std::string& service);
+  // Drops withdrawn items and restores the canonical order.
+  void Finish();
+  void CheckResult();
+  ConfigPlaces PlacesOfResult() const;
+
+  const FleetConfig& m_base;
+  const ReleaseNote& m_note;
+  std::string_view m_source;
+  FleetConfig m_result;
+  Findings m_findings;
+  WithdrawnItems m_withdrawn;
+  ItemTable<RankConfig> m_ranks;
+  ItemTable<TenantConfig> m_tenants;
+  ItemTable<RegionConfig> m_regions;
+  ItemTable<FailureDomainConfig> m_failure_domains;
+  ItemTable<LinkConfig> m_links;
+  ItemTable<ServiceConfig> m_services;
+  // Tables of the services whose methods the note names.
+  std::map<std::string, ItemTable<MethodConfig>> m_methods;
+  // Items that change an idempotent flag, by the name of the method.
+  absl::flat_hash_map<std::string, const NoteItem*> m_flag_changes;
+};
+
+}  // namespace vanillatiller
+
+#endif  // VANILLATILLER_SOURCE_FLEETCONFIG_NOTE_APPLIER_H_
--- /dev/null
+++ b/Source/fleetconfig/release_note.cc
@@ -0,0 +1,187 @@
+#include "fleetconfig/release_note.h"
+
+#include <algorithm>
+#include <array>
+#include <tuple>
+
+#include "absl/strings/str_cat.h"
+#include "fleetconfig/canonical.h"
+
+namespace vanillatiller {
+namespace {
+
+constexpr auto kActionNames =
+    std::to_array<std::string_view>({"added", "changed", "withdrawn"});
+constexpr auto kKindNames = std::to_array<std::string_view>(
+    {"chain", "rank", "tenant", "region", "failure_domain", "link", "service",
+     "method"});
+constexpr auto kStandingNames = std::to_array<std::string_view>(
+    {"applicable", "in-force", "rival", "overtaken", "base-missing",
+     "base-differs"});
+
+// Digits of a digest that tell two values apart in a message.
+constexpr size_t kShownDigits = 12;
+
+std::string Show(const Sha256Digest& digest) {
+  return ToHex(digest).substr(0, kShownDigits);
+}
+
+auto ItemKey(const NoteItem& item) { return std::tie(item.kind, item.name); }
+
+auto SortKey(const NoteItem& item) {
+  return std::tie(item.action, item.kind, item.name);
+}
+
+template <typename T>
+void Append(ItemKind kind, const std::vector<T>& values,
+            std::vector<NoteItem>* items) {
+  for (const T& value : values) {
+    items->push_back({NoteAction::kAdded, kind, value.name, value, {}});
+  }
+}
+
+// Collects the differences of two sorted lists of items.
+class DifferenceMerger {
+ public:
+  explicit DifferenceMerger(std::vector<NoteItem>* out) : m_out(out) {}
+
+  void Merge(std::vector<NoteItem> before, std::vector<NoteItem> after) {
+    auto old_item = before.begin();
+    auto new_item = after.begin();
+    while (old_item != before.end() || new_item != after.end()) {
+      if (new_item == after.end() ||
+          (old_item != before.end() &&
+           ItemKey(*old_item) < ItemKey(*new_item))) {
+        old_item->fields = std::monostate();
+        Emit(NoteAction::kWithdrawn, std::move(*old_item++));
+      } else if (old_item == before.end() ||
+                 ItemKey(*new_item) < ItemKey(*old_item)) {
+        Emit(NoteAction::kAdded, std::move(*new_item++));
+      } else {
+        if (old_item->fields != new_item->fields) {
+          Emit(NoteAction::kChanged, std::move(*new_item));
+        }
+        ++old_item;
+        ++new_item;
+      }
+    }
+  }
+
+ private:
+  void Emit(NoteAction action, NoteItem item) {
+    item.action = action;
+    m_out->push_back(std::move(item));
+  }
+
+  std::vector<NoteItem>* m_out;
+};
+
+}  // namespace
+
+std::string_view NoteActionName(NoteAction action) {
+  return kActionNames.at(static_cast<size_t>(action));
+}
+
+std::string_view ItemKindName(ItemKind kind) {
+  return kKindNames.at(static_cast<size_t>(kind));
+}
+
+std::string_view NoteStandingName(NoteStanding standing) {
+  return kStandingNames.at(static_cast<size_t>(standing));
+}
+
+NoteStanding ClassifyNote(uint64_t version, const Sha256Digest& digest,
+                          const ReleaseNote& note) {
+  if (version == note.version) {
+    return digest == note.digest ? NoteStanding::kInForce
+                                 : NoteStanding::kRival;
+  }
+  if (version > note.version) return NoteStanding::kOvertaken;
+  if (version < note.base_version) return NoteStanding::kBaseMissing;
+  if (version > note.base_version) return NoteStanding::kOvertaken;
+  return digest == note.base_digest ? NoteStanding::kApplicable
+                                    : NoteStanding::kBaseDiffers;
+}
+
+std::string DescribeStanding(NoteStanding standing, uint64_t version,
+                             const Sha256Digest& digest,
+                             const ReleaseNote& note) {
+  switch (standing) {
+    case NoteStanding::kApplicable:
+      return "";
+    case NoteStanding::kInForce:
+      return absl::StrCat("the note is already applied: the value has version ",
+                          version, " and the digest that the note leads to");
+    case NoteStanding::kRival:
+      return absl::StrCat("another note has led to version ", version,
+                          ": the value has digest ", Show(digest),
+                          ", this note leads to ", Show(note.digest),
+                          "; make the note again on the value in force");
+    case NoteStanding::kOvertaken:
+      return absl::StrCat("the note leads from version ", note.base_version,
+                          " to ", note.version,
+                          " and is overtaken: the value already has version ",
+                          version, "; make the note again on that version");
+    case NoteStanding::kBaseMissing:
+      return absl::StrCat("the note is made on version ", note.base_version,
+                          ", the value has version ", version,
+                          "; apply the notes between them first");
+    case NoteStanding::kBaseDiffers:
+      return absl::StrCat("the note is made on version ", note.base_version,
+                          " with digest ", Show(note.base_digest),
+                          ", the value of that version has digest ",
+                          Show(digest));
+  }
+  return "";
+}
+
+std::vector<NoteItem> ListItems(const FleetConfig& config) {
+  std::vector<NoteItem> items;
+  items.push_back(
+      {NoteAction::kAdded, ItemKind::kChain, "chain", config.chain, {}});
+  Append(ItemKind::kRank, config.ranks, &items);
+  Append(ItemKind::kTenant, config.tenants, &items);
+  Append(ItemKind::kRegion, config.regions, &items);
+  Append(ItemKind::kFailureDomain, config.failure_domains, &items);
+  for (const LinkConfig& link : config.links) {
+    items.push_back({NoteAction::kAdded,
+                     ItemKind::kLink,
+                     absl::StrCat(link.from, "->", link.to),
+                     link,
+                     {}});
+  }
+  for (const ServiceConfig& service : config.services) {
+    items.push_back({NoteAction::kAdded,
+                     ItemKind::kService,
+                     service.name,
+                     ServiceFields{service.slots, service.connections},
+                     {}});
+    for (const MethodConfig& method : service.methods) {
+      items.push_back({NoteAction::kAdded,
+                       ItemKind::kMethod,
+                       absl::StrCat(service.name, ".", method.name),
+                       method,
+                       {}});
+    }
+  }
+  std::ranges::sort(items, {}, ItemKey);
+  return items;
+}
+
+ReleaseNote DiffNote(const FleetConfig& before, const FleetConfig& after) {
+  FleetConfig old_value = before;
+  FleetConfig new_value = after;
+  Canonicalize(&old_value);
+  Canonicalize(&new_value);
+  ReleaseNote note;
+  note.base_version = before.version;
+  note.base_digest = ConfigDigest(old_value);
+  note.version = after.version;
+  note.digest = ConfigDigest(new_value);
+  DifferenceMerger(&note.items)
+      .Merge(ListItems(old_value), ListItems(new_value));
+  std::ranges::stable_sort(note.items, {}, SortKey);
+  return note;
+}
+
+}  // namespace vanillatiller
--- a/Source/fleetconfig/release_note.h
+++ b/Source/fleetconfig/release_note.h
@@ -71,8 +71,16 @@
   Sha256Digest digest{};
   // Sorted by action, kind and name.
   std::vector<NoteItem> items;
-
-  bool operator==(const ReleaseNote&) const = default;
+  // Where base_version, version and digest stand in the text; not compared.
+  Place base_place;
+  Place version_place;
+  Place digest_place;
+
+  bool operator==(const ReleaseNote& other) const {
+    return base_version == other.base_version &&
+           base_digest == other.base_digest && version == other.version &&
+           digest == other.digest && items == other.items;
+  }
 };
 
 // How a note relates to the value in force.
@@ -112,9 +120,9 @@
 // The note that leads from `before` to `after`.
 ReleaseNote DiffNote(const FleetConfig& before, const FleetConfig& after);
 
-// Parses a note in TOML; every item has all its fields. Reports every fault
-// with its place, duplicate items among them, and returns nullopt if there is
-// one.
+// Parses a note in TOML; every item has all its fields. Returns nullopt if
+// there is any finding; all findings are reported, not only the first. Checks
+// fields and types only; see CheckNote.
 std::optional<ReleaseNote> ParseNote(std::string_view text,
                                      std::string_view source,
                                      Findings* findings);
