Vtctl: Add the command line with the note commands and the examples

Cause: operators make each change through a release note and need to write, check and apply one without a running fleet.

--- a/Source/fleetconfig/note_applier.cc
+++ b/Source/fleetconfig/note_applier.cc
@@ -71,13 +71,14 @@
 }
 
 bool NoteApplier::CheckStanding() {
-  const Sha256Digest digest = ConfigDigest(m_base);
-  const NoteStanding standing = ClassifyNote(m_base.version, digest, m_note);
   if (m_note.version <= m_note.base_version) {
     Report(m_note.version_place,
            absl::StrCat("version ", m_note.version,
                         " does not follow base_version ", m_note.base_version));
+    return false;
   }
+  const Sha256Digest digest = ConfigDigest(m_base);
+  const NoteStanding standing = ClassifyNote(m_base.version, digest, m_note);
   if (standing == NoteStanding::kApplicable) return true;
   Report(m_note.base_place,
          DescribeStanding(standing, m_base.version, digest, m_note));
--- /dev/null
+++ b/Source/vtctl/command.cc
@@ -0,0 +1,123 @@
+#include "vtctl/command.h"
+
+#include <array>
+
+#include "absl/strings/str_join.h"
+#include "absl/strings/str_split.h"
+#include "vtctl/commands.h"
+
+namespace vanillatiller {
+namespace {
+
+constexpr auto kCommands = std::to_array<Command>({
+    {"note diff", "OLD NEW",
+     "print the release note that leads from the value OLD to the value NEW", 2,
+     false, NoteDiff},
+    {"note check", "BASE NOTE",
+     "report every fault of NOTE, made on the value BASE", 2, false, NoteCheck},
+    {"note apply", "BASE NOTE",
+     "print the value that NOTE makes of the value BASE", 2, false, NoteApply},
+});
+
+constexpr std::string_view kExitStatuses =
+    R"(Exit statuses:
+  0  done; the input is sound, the fleet is as it should be
+  1  wrong usage: unknown command or flag, missing argument
+  2  the input has faults, or the fleet is not as it should be
+  3  a file cannot be read, or a node gives no answer
+)";
+
+constexpr std::string_view kFlags = R"(Flags:
+  --json                  print JSON for scripts instead of tables
+  --help                  print this text
+)";
+
+std::vector<std::string> Words(std::string_view text) {
+  return absl::StrSplit(absl::string_view(text.data(), text.size()), ' ');
+}
+
+// Number of leading words of `words` that are the name of `command`; 0 if it
+// is another one.
+size_t MatchLength(const Command& command,
+                   const std::vector<std::string>& words) {
+  const std::vector<std::string> name = Words(command.name);
+  if (words.size() < name.size()) return 0;
+  const bool is_equal = std::equal(name.begin(), name.end(), words.begin());
+  return is_equal ? name.size() : 0;
+}
+
+std::string UsageLine(const Command& command) {
+  std::string line = "vtctl ";
+  line.append(command.name);
+  if (!command.arguments.empty()) line.append(" ").append(command.arguments);
+  if (command.needs_nodes) line.append(" --nodes=IP:PORT,...");
+  return line;
+}
+
+ExitStatus ReportUnknown(const std::vector<std::string>& words,
+                         std::ostream& error) {
+  if (words.empty()) {
+    error << "vtctl: no command given\n";
+  } else {
+    error << "vtctl: unknown command \"" << absl::StrJoin(words, " ") << "\"\n";
+  }
+  // A first word that is known narrows the suggestions.
+  for (const Command& command : kCommands) {
+    const bool is_related =
+        words.empty() || Words(command.name).front() == words.front();
+    if (is_related) error << "  " << UsageLine(command) << '\n';
+  }
+  error << "Try \"vtctl --help\".\n";
+  return ExitStatus::kUsage;
+}
+
+}  // namespace
+
+std::span<const Command> AllCommands() { return kCommands; }
+
+std::string HelpText() {
+  std::string text =
+      "vtctl: the operators' command line of vanillatiller.\n\n"
+      "Usage: vtctl COMMAND [ARGUMENT...] [FLAG...]\n\nCommands:\n";
+  for (const Command& command : kCommands) {
+    text.append("  ").append(UsageLine(command)).append("\n      ");
+    text.append(command.summary).append("\n");
+  }
+  text.append("\n").append(kFlags).append("\n").append(kExitStatuses);
+  return text;
+}
+
+ExitStatus RunCommand(const std::vector<std::string>& words,
+                      const CommandOptions& options, FleetClient* client,
+                      std::ostream& out, std::ostream& error) {
+  if (!words.empty() && words.front() == "help") {
+    out << HelpText();
+    return ExitStatus::kOk;
+  }
+  for (const Command& command : kCommands) {
+    const size_t length = MatchLength(command, words);
+    if (length == 0) continue;
+    const size_t argument_count = words.size() - length;
+    if (argument_count != command.argument_count) {
+      error << "vtctl: \"" << command.name << "\" takes "
+            << command.argument_count << " arguments, found " << argument_count
+            << "\nUsage: " << UsageLine(command) << '\n';
+      return ExitStatus::kUsage;
+    }
+    if (command.needs_nodes && options.nodes.empty()) {
+      error << "vtctl: \"" << command.name
+            << "\" needs the addresses of nodes\nUsage: " << UsageLine(command)
+            << '\n';
+      return ExitStatus::kUsage;
+    }
+    return command.run(
+        {{words.begin() + static_cast<ptrdiff_t>(length), words.end()},
+         options,
+         &out,
+         &error,
+         client});
+  }
+  return ReportUnknown(words, error);
+}
+
+}  // namespace vanillatiller
--- /dev/null
+++ b/Source/vtctl/commands.h
@@ -0,0 +1,14 @@
+#ifndef VANILLATILLER_SOURCE_VTCTL_COMMANDS_H_
+#define VANILLATILLER_SOURCE_VTCTL_COMMANDS_H_
+
+#include "vtctl/command.h"
+
+namespace vanillatiller {
+
+ExitStatus NoteDiff(const Invocation& invocation);
+ExitStatus NoteCheck(const Invocation& invocation);
+ExitStatus NoteApply(const Invocation& invocation);
+
+}  // namespace vanillatiller
+
+#endif  // VANILLATILLER_SOURCE_VTCTL_COMMANDS_H_
--- /dev/null
+++ b/Source/vtctl/fleet_client.cc
@@ -0,0 +1,28 @@
+#include "vtctl/fleet_client.h"
+
+#include <algorithm>
+#include <atomic>
+#include <thread>
+
+namespace vanillatiller {
+namespace {
+
+// Nodes that are asked at the same time. A node that gives no answer holds a
+// thread until its timeout.
+constexpr size_t kParallelCalls = 32;
+
+}  // namespace
+
+void ForEachInParallel(size_t count, const std::function<void(size_t)>& work) {
+  std::atomic<size_t> next{0};
+  const auto take = [&] {
+    for (size_t i = next++; i < count; i = next++) work(i);
+  };
+  std::vector<std::thread> threads;
+  const size_t thread_count = std::min(count, kParallelCalls);
+  for (size_t i = 1; i < thread_count; ++i) threads.emplace_back(take);
+  take();
+  for (std::thread& thread : threads) thread.join();
+}
+
+}  // namespace vanillatiller
--- /dev/null
+++ b/Source/vtctl/text_table.h
@@ -0,0 +1,25 @@
+#ifndef VANILLATILLER_SOURCE_VTCTL_TEXT_TABLE_H_
+#define VANILLATILLER_SOURCE_VTCTL_TEXT_TABLE_H_
+
+#include <ostream>
+#include <string>
+#include <vector>
+
+namespace vanillatiller {
+
+// Table for people: a head, and columns as wide as their widest cell.
+class TextTable {
+ public:
+  explicit TextTable(std::vector<std::string> head);
+
+  // Cells beyond the head are dropped, missing ones stay empty.
+  void AddRow(std::vector<std::string> cells);
+  void Print(std::ostream& out) const;
+
+ private:
+  std::vector<std::vector<std::string>> m_rows;
+};
+
+}  // namespace vanillatiller
+
+#endif  // VANILLATILLER_SOURCE_VTCTL_TEXT_TABLE_H_
