--- a/Source/fleetconfig/note_text.cc
+++ b/Source/fleetconfig/note_text.cc
@@ -2,8 +2,8 @@
 #include <tuple>
 
 #include "absl/strings/escaping.h"
+#include "fleetconfig/item_fields.h"
 #include "fleetconfig/release_note.h"
-#include "fleetconfig/toml_reader.h"
 #include "fleetconfig/toml_writer.h"
 
 namespace vanillatiller {
@@ -200,7 +200,7 @@
   const size_t findings_before = findings->size();
   TomlReader reader(source, findings);
   ReleaseNote note;
-  reader.ReadText(text, [&](const toml::table& root) {
+  ReadText(reader, text, source, [&](const toml::table& root) {
     NoteReader(&reader, &note).Read(root);
   });
   if (findings->size() != findings_before) return std::nullopt;
--- a/Source/fleetconfig/parser.cc
+++ b/Source/fleetconfig/parser.cc
@@ -1,7 +1,7 @@
 #include "fleetconfig/canonical.h"
 #include "fleetconfig/config_check.h"
 #include "fleetconfig/fleet_config.h"
-#include "fleetconfig/toml_reader.h"
+#include "fleetconfig/item_fields.h"
 
 namespace vanillatiller {
 namespace {
@@ -104,7 +104,7 @@
   TomlReader reader(source, &found);
   ParsedValue value;
   bool is_toml = false;
-  reader.ReadText(text, [&](const toml::table& root) {
+  ReadText(reader, text, source, [&](const toml::table& root) {
     ReadRoot(reader, root, &value);
     is_toml = true;
   });
