--- /dev/null
+++ b/Source/membership/membership.cc
@@ -0,0 +1,763 @@
+#include "membership/membership.h"
+
+#include <algorithm>
+#include <boost/random/uniform_int_distribution.hpp>
+#include <utility>
+
+namespace vanillatiller {
+namespace {
+
+constexpr std::string_view kRelayKey = "membership-relay";
+constexpr size_t kMaxNameLength = 128;
+// Helpers drawn in a tick; more targets than that are rarely silent at once.
+constexpr size_t kHelpersPerTick = 4;
+// Without contact for this many probe intervals, several silent peers mean that
+// this node is cut off.
+constexpr int kIsolationIntervals = 2;
+// A probe without any result is given up this long after its timeout.
+constexpr Duration kResultMargin = std::chrono::milliseconds(100);
+
+bool IsValidName(const std::string& name) {
+  return !name.empty() && name.size() <= kMaxNameLength;
+}
+
+bool IsValidState(MemberState state) {
+  return state >= MemberState::kLive && state <= MemberState::kFailed;
+}
+
+bool IsValidMember(const Member& member) {
+  return IsValidName(member.vm) && IsValidName(member.service) &&
+         IsValidName(member.peer_address) &&
+         IsValidName(member.failure_domain) && IsValidName(member.region) &&
+         IsValidState(member.state);
+}
+
+size_t DrawIndex(size_t size, Membership::Generator& rng) {
+  return boost::random::uniform_int_distribution<size_t>(0, size - 1)(rng);
+}
+
+Duration DrawDuration(Duration limit, Membership::Generator& rng) {
+  boost::random::uniform_int_distribution<Duration::rep> draw(0, limit.count());
+  return Duration(draw(rng));
+}
+
+std::vector<std::string> DrawNames(const std::vector<std::string>& names,
+                                   size_t count, Membership::Generator& rng) {
+  std::vector<std::string> result;
+  if (names.size() <= count) return names;
+  while (result.size() < count) {
+    const std::string& name = names[DrawIndex(names.size(), rng)];
+    if (std::find(result.begin(), result.end(), name) == result.end()) {
+      result.push_back(name);
+    }
+  }
+  return result;
+}
+
+// True if routing would see a difference.
+bool IsSameForRouting(const Member& first, const Member& second) {
+  return first.state == second.state &&
+         first.incarnation == second.incarnation &&
+         first.peer_address == second.peer_address &&
+         first.service == second.service;
+}
+
+}  // namespace
+
+Membership::Membership(const Member& self, const MembershipPolicy& policy)
+    : m_policy(policy), m_self_vm(self.vm) {
+  m_table.Put(self);
+  Enqueue(self);
+}
+
+MembershipActions Membership::OnVmList(std::span<const Member> list,
+                                       TimePoint now) {
+  const bool apply_leaving = IsPlausible(list);
+  if (!apply_leaving) ++m_counters.doubted_lists;
+  m_listed.clear();
+  for (const Member& listed : list) {
+    if (!IsValidMember(listed)) {
+      ++m_counters.invalid_updates;
+      continue;
+    }
+    m_listed.insert(listed.vm);
+    AddListed(listed, apply_leaving, now);
+  }
+  return {};
+}
+
+MembershipActions Membership::OnProbeResult(const ProbeResult& result,
+                                            TimePoint now) {
+  MembershipActions actions;
+  if (result.reached) {
+    m_last_contact = now;
+    HandleReached(result.probe_id, now);
+  }
+  if (result.answer) {
+    const ExchangeMessage& answer = *result.answer;
+    MergeAll(answer.updates, now);
+    if (!answer.bucket_digests.empty()) {
+      ReturnNewerEntries(answer, &actions);
+    } else if (answer.member_digest != 0 &&
+               answer.member_digest != m_table.Digest()) {
+      CompareTables(answer.from_vm, now, &actions);
+    }
+  }
+  if (!result.reached) HandleUnreached(result.probe_id, now, &actions);
+  return actions;
+}
+
+ExchangeOutcome Membership::OnExchange(const ExchangeMessage& request,
+                                       TimePoint now) {
+  ExchangeOutcome outcome;
+  m_last_contact = now;
+  MergeAll(request.updates, now);
+  outcome.answer = MakeMessage();
+  // A sender that is held to be failed or suspect refutes when it sees that.
+  AttachEntry(request.from_vm, &outcome.answer);
+  const bool asks_for_self = std::any_of(
+      request.updates.begin(), request.updates.end(),
+      [this](const Member& update) { return update.vm == m_self_vm; });
+  if (asks_for_self) outcome.answer.updates.push_back(self());
+  if (!request.want_members) return outcome;
+  const size_t first_bucket = m_counters.table_comparisons++;
+  MemberList entries = m_table.EntriesOfDifferingBuckets(
+      request.bucket_digests, m_policy.max_sync_updates, first_bucket);
+  outcome.answer.updates.insert(outcome.answer.updates.end(), entries.begin(),
+                                entries.end());
+  outcome.answer.bucket_digests = m_table.BucketDigests();
+  return outcome;
+}
+
+MembershipActions Membership::OnLocalBackend(bool healthy, bool leaving,
+                                             TimePoint now) {
+  MembershipActions actions;
+  m_backend_healthy = healthy;
+  if (!leaving || self().state == MemberState::kLeaving) return actions;
+  AnnounceSelf(MemberState::kLeaving, self().sequence + 1);
+  m_last_change = now;
+  Publish(&actions);
+  return actions;
+}
+
+MembershipActions Membership::OnTick(TimePoint now, Generator& rng) {
+  MembershipActions actions;
+  DetectPause(now);
+  LeaveDoubtIfDue(now);
+  m_helpers = DrawNames(m_ring.others(), kHelpersPerTick, rng);
+  ExpireProbes(now, &actions);
+  ExpireSuspicions(now);
+  DropTombstones(now);
+  RefreshRing(now, rng);
+  ChooseTargets(now, rng);
+  SendDueProbes(now, &actions);
+  Gossip(now, rng, &actions);
+  Relay(now, rng, &actions);
+  Reconnect(now, rng, &actions);
+  Synchronize(now, rng, &actions);
+  Publish(&actions);
+  return actions;
+}
+
+void Membership::RequestGossip() {
+  const uint32_t fanout = std::max(1U, m_policy.gossip_fanout);
+  m_gossip_rounds = (m_policy.transmissions + fanout - 1) / fanout;
+}
+
+bool Membership::IsRelay() const {
+  const auto found = m_relays.find(self().region);
+  if (found == m_relays.end()) return false;
+  const auto& names = found->second;
+  return std::find(names.begin(), names.end(), m_self_vm) != names.end();
+}
+
+// --- Updates ---------------------------------------------------------------
+
+void Membership::MergeAll(const MemberList& updates, TimePoint now) {
+  for (const Member& update : updates) Merge(update, now);
+}
+
+bool Membership::Merge(const Member& update, TimePoint now) {
+  if (!IsValidMember(update)) {
+    ++m_counters.invalid_updates;
+    return false;
+  }
+  if (update.vm == m_self_vm) {
+    MergeOwn(update);
+    return false;
+  }
+  const Member* entry = m_table.Find(update.vm);
+  if (entry != nullptr && !Supersedes(update, *entry)) return false;
+  Accept(update, now);
+  return true;
+}
+
+// News of this node from a peer: an older incarnation and its own words need no
+// answer, a suspicion is refuted, a departure that the platform ordered is
+// taken over.
+void Membership::MergeOwn(const Member& update) {
+  const Member& own = self();
+  if (update.incarnation > own.incarnation) {
+    m_superseded = true;
+    return;
+  }
+  if (!Supersedes(update, own)) {
+    if (update.incarnation < own.incarnation) Enqueue(own);
+    return;
+  }
+  if (update.state == MemberState::kLeaving) {
+    AnnounceSelf(MemberState::kLeaving, update.sequence + 1);
+    return;
+  }
+  ++m_counters.refutations;
+  AnnounceSelf(own.state, update.sequence + 1);
+}
+
+void Membership::AnnounceSelf(MemberState state, uint64_t sequence) {
+  Member own = self();
+  m_table_changed |= own.state != state;
+  own.state = state;
+  own.sequence = sequence;
+  m_table.Put(own);
+  Enqueue(own);
+}
+
+// Takes a newer entry of another member into the table and passes it on.
+void Membership::Accept(const Member& update, TimePoint now) {
+  const Member* before = m_table.Find(update.vm);
+  const bool was_known = before != nullptr;
+  const bool was_failed = was_known && before->state == MemberState::kFailed;
+  const bool was_leaving = was_known && before->state == MemberState::kLeaving;
+  const bool is_failed = update.state == MemberState::kFailed;
+  m_table_changed |= !was_known || !IsSameForRouting(*before, update);
+  m_ring_changed |= !was_known || was_failed != is_failed;
+  m_table.Put(update);
+  m_last_change = now;
+  Enqueue(update);
+  if (is_failed) m_failed_at[update.vm] = now;
+  if (!is_failed) m_failed_at.erase(update.vm);
+  if (update.state != MemberState::kSuspect) m_suspicions.erase(update.vm);
+  if (is_failed && was_known && !was_leaving) RecordLoss(update.vm, now);
+  if (update.state != MemberState::kSuspect) return;
+  RecordLoss(update.vm, now);
+  const Duration patience =
+      m_policy.suspicion_timeout * m_policy.secondhand_factor;
+  m_suspicions.try_emplace(update.vm, Suspicion{false, now + patience});
+}
+
+void Membership::Enqueue(const Member& member) {
+  m_updates.Push(member.vm, m_policy.transmissions);
+  if (member.region != self().region) return;
+  for (auto& [region, queue] : m_remote_updates) {
+    queue.Push(member.vm, m_policy.relay_transmissions);
+  }
+}
+
+// A list that marks a large share of the members leaving at once is taken for
+// wrong, and its marks are passed over.
+bool Membership::IsPlausible(std::span<const Member> list) const {
+  size_t newly_leaving = 0;
+  for (const Member& listed : list) {
+    if (listed.state != MemberState::kLeaving) continue;
+    const Member* entry = m_table.Find(listed.vm);
+    if (entry == nullptr || entry->state == MemberState::kLive) ++newly_leaving;
+  }
+  const double share = m_policy.doubt_share;
+  const double members = static_cast<double>(m_table.entries().size());
+  return newly_leaving <= m_policy.doubt_minimum ||
+         static_cast<double>(newly_leaving) <= share * members;
+}
+
+void Membership::AddListed(const Member& listed, bool apply_leaving,
+                           TimePoint now) {
+  const bool leaving = apply_leaving && listed.state == MemberState::kLeaving;
+  const Member* entry = m_table.Find(listed.vm);
+  if (entry == nullptr) {
+    Member added = listed;
+    added.incarnation = 0;
+    added.sequence = 0;
+    added.state = leaving ? MemberState::kLeaving : MemberState::kLive;
+    Accept(added, now);
+    return;
+  }
+  if (!leaving || entry->state == MemberState::kFailed) return;
+  Member marked = *entry;
+  marked.state = MemberState::kLeaving;
+  Merge(marked, now);
+}
+
+// --- Messages --------------------------------------------------------------
+
+ExchangeMessage Membership::MakeMessage() {
+  ExchangeMessage message;
+  message.from_vm = m_self_vm;
+  message.member_digest = m_table.Digest();
+  for (const std::string& vm : m_updates.Take(m_policy.max_updates)) {
+    const Member* entry = m_table.Find(vm);
+    if (entry != nullptr) message.updates.push_back(*entry);
+  }
+  return message;
+}
+
+// Adds the entry of a member that is not known to be live, so that it can
+// answer with a newer one.
+void Membership::AttachEntry(std::string_view vm,
+                             ExchangeMessage* message) const {
+  const Member* entry = m_table.Find(vm);
+  if (entry == nullptr) return;
+  const bool is_settled = entry->state == MemberState::kLive ||
+                          entry->state == MemberState::kLeaving;
+  if (is_settled && entry->incarnation != 0) return;
+  message->updates.push_back(*entry);
+}
+
+SendProbe Membership::MakeProbe(const Member& target) {
+  SendProbe probe;
+  probe.probe_id = m_next_probe_id++;
+  probe.vm = target.vm;
+  probe.address = target.peer_address;
+  probe.timeout = m_policy.probe_timeout;
+  probe.message = MakeMessage();
+  AttachEntry(target.vm, &probe.message);
+  return probe;
+}
+
+// Compares tables with `vm` if they have differed for a while.
+void Membership::CompareTables(const std::string& vm, TimePoint now,
+                               MembershipActions* actions) {
+  const Member* peer = m_table.Find(vm);
+  if (peer == nullptr || now < m_next_sync) return;
+  if (!m_wants_sync && now < m_last_change + m_policy.quiet_time) return;
+  m_wants_sync = false;
+  m_next_sync = now + m_policy.sync_interval;
+  ++m_counters.table_comparisons;
+  SendProbe request = MakeProbe(*peer);
+  request.timeout = m_policy.sync_interval;
+  request.message.want_members = true;
+  request.message.bucket_digests = m_table.BucketDigests();
+  actions->emplace_back(std::move(request));
+}
+
+// After the peer's entries were merged: sends back what the peer lacks.
+void Membership::ReturnNewerEntries(const ExchangeMessage& answer,
+                                    MembershipActions* actions) {
+  const Member* peer = m_table.Find(answer.from_vm);
+  if (peer == nullptr) return;
+  MemberList entries = m_table.EntriesOfDifferingBuckets(
+      answer.bucket_digests, m_policy.max_sync_updates,
+      m_counters.table_comparisons);
+  std::erase_if(entries, [&answer](const Member& entry) {
+    return std::find(answer.updates.begin(), answer.updates.end(), entry) !=
+           answer.updates.end();
+  });
+  if (entries.empty()) return;
+  SendProbe request = MakeProbe(*peer);
+  request.timeout = m_policy.sync_interval;
+  request.message.updates = std::move(entries);
+  actions->emplace_back(std::move(request));
+}
+
+// --- Failure detection -----------------------------------------------------
+
+void Membership::HandleReached(uint64_t probe_id, TimePoint now) {
+  const auto found = m_probes.find(probe_id);
+  if (found == m_probes.end()) return;
+  const std::string vm = found->second.vm;
+  std::erase_if(m_probes,
+                [&vm](const auto& item) { return item.second.vm == vm; });
+  const auto suspicion = m_suspicions.find(vm);
+  if (suspicion == m_suspicions.end()) return;
+  // The refutation may still be under way; it gets the time of a suspicion that
+  // was only heard of.
+  suspicion->second = {
+      false, now + m_policy.suspicion_timeout * m_policy.secondhand_factor};
+}
+
+void Membership::HandleUnreached(uint64_t probe_id, TimePoint now,
+                                 MembershipActions* actions) {
+  const auto found = m_probes.find(probe_id);
+  if (found == m_probes.end()) return;
+  Probe& probe = found->second;
+  if (probe.outstanding > 1) {
+    --probe.outstanding;
+    return;
+  }
+  const std::string vm = probe.vm;
+  const bool confirming = probe.confirming;
+  m_probes.erase(found);
+  if (confirming) {
+    Suspect(vm, now);
+  } else {
+    Confirm(vm, now, actions);
+  }
+}
+
+// Probes a silent peer on a new connection and through other peers. All of them
+// share one identity, and the last failure decides.
+void Membership::Confirm(const std::string& vm, TimePoint now,
+                         MembershipActions* actions) {
+  const Member* target = m_table.Find(vm);
+  if (target == nullptr || target->state == MemberState::kFailed) return;
+  ++m_counters.confirmations;
+  SendProbe direct = MakeProbe(*target);
+  direct.fresh_connection = true;
+  direct.timeout = m_policy.confirm_timeout;
+  Probe probe;
+  probe.vm = vm;
+  probe.confirming = true;
+  probe.deadline = now + m_policy.confirm_timeout + kResultMargin;
+  const uint64_t probe_id = direct.probe_id;
+  const std::string target_address = target->peer_address;
+  actions->emplace_back(std::move(direct));
+  for (const std::string& name : m_helpers) {
+    if (probe.outstanding > m_policy.indirect_probers) break;
+    const Member* helper = m_table.Find(name);
+    if (name == vm || helper == nullptr) continue;
+    if (helper->state != MemberState::kLive) continue;
+    ++probe.outstanding;
+    actions->emplace_back(
+        SendIndirectProbe{probe_id, name, helper->peer_address, vm,
+                          target_address, m_policy.confirm_timeout});
+  }
+  m_probes[probe_id] = probe;
+}
+
+void Membership::Suspect(const std::string& vm, TimePoint now) {
+  const Member* entry = m_table.Find(vm);
+  if (entry == nullptr || entry->state == MemberState::kFailed) return;
+  if (IsIsolated(now)) EnterDoubt(now);
+  if (m_in_doubt) return;
+  const TimePoint deadline = now + m_policy.suspicion_timeout;
+  const auto known = m_suspicions.find(vm);
+  if (known != m_suspicions.end()) {
+    const bool keeps_own = known->second.own;
+    known->second.own = true;
+    if (!keeps_own) {
+      known->second.deadline = std::min(known->second.deadline, deadline);
+    }
+    return;
+  }
+  ++m_counters.suspicions;
+  m_suspicions[vm] = {true, deadline};
+  if (entry->state == MemberState::kLeaving) return;
+  Member suspect = *entry;
+  suspect.state = MemberState::kSuspect;
+  Accept(suspect, now);
+}
+
+void Membership::DeclareFailed(const std::string& vm, TimePoint now) {
+  const Member* entry = m_table.Find(vm);
+  if (entry == nullptr || entry->state == MemberState::kFailed) return;
+  ++m_counters.failures_declared;
+  Member failed = *entry;
+  failed.state = MemberState::kFailed;
+  Accept(failed, now);
+}
+
+// With a single peer, a dead peer and a cut link look the same, and the peer is
+// taken to be dead.
+bool Membership::IsIsolated(TimePoint now) const {
+  if (m_ring.others().size() < 2) return false;
+  return now > m_last_contact + kIsolationIntervals * m_policy.probe_interval;
+}
+
+void Membership::RecordLoss(const std::string& vm, TimePoint now) {
+  const Member* entry = m_table.Find(vm);
+  if (entry == nullptr || entry->region != self().region) return;
+  const bool known =
+      std::any_of(m_losses.begin(), m_losses.end(),
+                  [&vm](const Loss& loss) { return loss.vm == vm; });
+  if (!known) m_losses.push_back({now, vm});
+  if (now >= m_no_doubt_until && HasLostLargeShare(now)) EnterDoubt(now);
+}
+
+bool Membership::HasLostLargeShare(TimePoint now) {
+  while (!m_losses.empty() &&
+         m_losses.front().time + m_policy.doubt_window < now) {
+    m_losses.pop_front();
+  }
+  const auto lost = static_cast<size_t>(
+      std::count_if(m_losses.begin(), m_losses.end(), [this](const Loss& loss) {
+        const Member* entry = m_table.Find(loss.vm);
+        return entry != nullptr && (entry->state == MemberState::kSuspect ||
+                                    entry->state == MemberState::kFailed);
+      }));
+  if (lost <= m_policy.doubt_minimum) return false;
+  const double members = static_cast<double>(m_ring.others().size() + 1);
+  return static_cast<double>(lost) > m_policy.doubt_share * members;
+}
+
+void Membership::EnterDoubt(TimePoint now) {
+  if (m_in_doubt) return;
+  ++m_counters.doubts;
+  m_in_doubt = true;
+  m_doubt_since = now;
+  m_wants_sync = true;
+}
+
+// Doubt ends after its time if any peer was heard of meanwhile. What is still
+// suspected then gets the full time to refute.
+void Membership::LeaveDoubtIfDue(TimePoint now) {
+  if (!m_in_doubt) return;
+  if (now < m_doubt_since + m_policy.doubt_time) return;
+  if (m_last_contact <= m_doubt_since) return;
+  if (IsIsolated(now)) return;
+  m_in_doubt = false;
+  m_losses.clear();
+  m_no_doubt_until = now + m_policy.doubt_pause;
+  for (auto& [vm, suspicion] : m_suspicions) {
+    suspicion.deadline = now + m_policy.suspicion_timeout;
+  }
+}
+
+// --- Steps of a tick -------------------------------------------------------
+
+void Membership::DetectPause(TimePoint now) {
+  const bool paused =
+      m_last_tick && now > *m_last_tick + m_policy.pause_threshold;
+  const bool first = !m_last_tick;
+  m_last_tick = now;
+  if (first) m_last_contact = now;
+  if (!paused) return;
+  m_probes.clear();
+  for (Target& target : m_targets) target.due = now;
+  m_in_doubt = false;
+  EnterDoubt(now);
+}
+
+void Membership::ExpireProbes(TimePoint now, MembershipActions* actions) {
+  std::vector<uint64_t> expired;
+  for (auto& [id, probe] : m_probes) {
+    if (probe.deadline <= now) {
+      probe.outstanding = 1;
+      expired.push_back(id);
+    }
+  }
+  for (const uint64_t id : expired) HandleUnreached(id, now, actions);
+}
+
+void Membership::ExpireSuspicions(TimePoint now) {
+  if (m_in_doubt) return;
+  std::vector<std::string> expired;
+  for (const auto& [vm, suspicion] : m_suspicions) {
+    if (suspicion.deadline <= now) expired.push_back(vm);
+  }
+  for (const std::string& vm : expired) {
+    const Member* entry = m_table.Find(vm);
+    const bool is_local = entry != nullptr && entry->region == self().region;
+    if (is_local && !m_in_doubt) DeclareFailed(vm, now);
+    if (!m_in_doubt) m_suspicions.erase(vm);
+  }
+}
+
+void Membership::DropTombstones(TimePoint now) {
+  for (auto item = m_failed_at.begin(); item != m_failed_at.end();) {
+    const bool expired = item->second + m_policy.tombstone_time <= now;
+    if (!expired || m_listed.contains(item->first)) {
+      ++item;
+      continue;
+    }
+    m_table.Remove(item->first);
+    item = m_failed_at.erase(item);
+  }
+}
+
+void Membership::RefreshRing(TimePoint now, Generator& rng) {
+  if (!m_ring_changed) return;
+  m_ring_changed = false;
+  m_ring.Rebuild(m_table, self().region, m_self_vm);
+  m_relays.clear();
+  std::set<std::string> regions;
+  for (const auto& [vm, member] : m_table.entries()) {
+    regions.insert(member.region);
+  }
+  const MemberList members = m_table.Routable();
+  for (const std::string& region : regions) {
+    m_relays[region] = ChooseByRendezvous(members, kRelayKey, region, "",
+                                          m_policy.relays_per_region);
+    if (region != self().region) m_remote_updates.try_emplace(region);
+  }
+  if (m_policy.strategy != ProbeStrategy::kRandom) m_next_draw = now;
+  m_helpers = DrawNames(m_ring.others(), kHelpersPerTick, rng);
+}
+
+// Sets the targets anew when the ring changed, or each round for kRandom.
+// Targets that stay keep their due time.
+void Membership::ChooseTargets(TimePoint now, Generator& rng) {
+  if (now < m_next_draw) return;
+  const Duration interval = m_policy.probe_interval;
+  std::vector<std::string> names;
+  switch (m_policy.strategy) {
+    case ProbeStrategy::kRing:
+      names = m_ring.Successors(m_policy.successors);
+      break;
+    case ProbeStrategy::kAllPeers:
+      names = m_ring.others();
+      break;
+    case ProbeStrategy::kRandom:
+      names = DrawNames(m_ring.others(), m_policy.successors, rng);
+      break;
+    case ProbeStrategy::kByDistance:
+      names = m_ring.AtDoublingDistances();
+      break;
+  }
+  const bool draws = m_policy.strategy == ProbeStrategy::kRandom;
+  m_next_draw = draws ? now + interval : TimePoint::max();
+  std::vector<Target> targets;
+  Duration own_interval = interval;
+  for (std::string& name : names) {
+    const auto kept = std::find_if(
+        m_targets.begin(), m_targets.end(),
+        [&name](const Target& target) { return target.vm == name; });
+    TimePoint due = now;
+    if (!draws) due += DrawDuration(interval, rng);
+    if (!draws && kept != m_targets.end()) due = kept->due;
+    targets.push_back({std::move(name), own_interval, due});
+    if (m_policy.strategy == ProbeStrategy::kByDistance) {
+      own_interval += interval;
+    }
+  }
+  m_targets = std::move(targets);
+}
+
+void Membership::SendDueProbes(TimePoint now, MembershipActions* actions) {
+  for (Target& target : m_targets) {
+    if (now < target.due) continue;
+    target.due = std::max(target.due + target.interval, now);
+    const bool pending = std::any_of(
+        m_probes.begin(), m_probes.end(),
+        [&target](const auto& item) { return item.second.vm == target.vm; });
+    const Member* member = m_table.Find(target.vm);
+    if (pending || member == nullptr) continue;
+    if (member->state == MemberState::kFailed) continue;
+    SendProbe request = MakeProbe(*member);
+    ++m_counters.probes;
+    Probe probe;
+    probe.vm = target.vm;
+    probe.deadline = now + m_policy.probe_timeout + kResultMargin;
+    m_probes[request.probe_id] = probe;
+    actions->emplace_back(std::move(request));
+  }
+}
+
+void Membership::Gossip(TimePoint now, Generator& rng,
+                        MembershipActions* actions) {
+  if (now < m_next_gossip) return;
+  if (m_updates.IsEmpty() && m_gossip_rounds == 0) return;
+  m_next_gossip = now + m_policy.gossip_interval;
+  if (m_gossip_rounds > 0) --m_gossip_rounds;
+  const auto names = DrawNames(m_ring.others(), m_policy.gossip_fanout, rng);
+  for (const std::string& name : names) {
+    const Member* peer = m_table.Find(name);
+    if (peer == nullptr) continue;
+    ++m_counters.gossip_messages;
+    actions->emplace_back(MakeProbe(*peer));
+  }
+}
+
+void Membership::Relay(TimePoint now, Generator& rng,
+                       MembershipActions* actions) {
+  if (!IsRelay() || m_remote_updates.empty()) return;
+  for (const auto& [region, queue] : m_remote_updates) {
+    if (!queue.IsEmpty()) SendToRelay(region, rng, actions);
+  }
+  if (now < m_next_relay) return;
+  m_next_relay = now + m_policy.relay_interval;
+  auto next = m_remote_updates.begin();
+  std::advance(next, m_next_remote_region++ % m_remote_updates.size());
+  SendToRelay(next->first, rng, actions);
+}
+
+void Membership::SendToRelay(const std::string& region, Generator& rng,
+                             MembershipActions* actions) {
+  const auto found = m_relays.find(region);
+  if (found == m_relays.end() || found->second.empty()) return;
+  const auto& names = found->second;
+  const Member* peer = m_table.Find(names[DrawIndex(names.size(), rng)]);
+  if (peer == nullptr) return;
+  SendProbe request;
+  request.probe_id = m_next_probe_id++;
+  request.vm = peer->vm;
+  request.address = peer->peer_address;
+  request.timeout = m_policy.relay_interval;
+  request.message.from_vm = m_self_vm;
+  request.message.member_digest = m_table.Digest();
+  auto& queue = m_remote_updates[region];
+  for (const std::string& vm : queue.Take(m_policy.max_updates)) {
+    const Member* entry = m_table.Find(vm);
+    if (entry != nullptr) request.message.updates.push_back(*entry);
+  }
+  AttachEntry(peer->vm, &request.message);
+  ++m_counters.relay_messages;
+  actions->emplace_back(std::move(request));
+}
+
+// Contacts one failed member of the region that the VM list still names.
+void Membership::Reconnect(TimePoint now, Generator& rng,
+                           MembershipActions* actions) {
+  if (now < m_next_reconnect) return;
+  const Duration interval = m_policy.reconnect_interval;
+  m_next_reconnect = now + interval / 2 + DrawDuration(interval, rng);
+  const size_t peers = m_ring.others().size() + 1;
+  if (DrawIndex(peers, rng) >= m_policy.reconnects_per_region) return;
+  std::vector<std::string> candidates;
+  for (const auto& [vm, time] : m_failed_at) {
+    const Member* entry = m_table.Find(vm);
+    if (entry == nullptr || entry->region != self().region) continue;
+    if (m_listed.contains(vm)) candidates.push_back(vm);
+  }
+  if (candidates.empty()) return;
+  const Member* peer =
+      m_table.Find(candidates[DrawIndex(candidates.size(), rng)]);
+  actions->emplace_back(MakeProbe(*peer));
+}
+
+// After the start and after a pause, compares tables without waiting for a
+// difference to show.
+void Membership::Synchronize(TimePoint now, Generator& rng,
+                             MembershipActions* actions) {
+  if (!m_wants_sync || m_ring.others().empty()) return;
+  const auto& names = m_ring.others();
+  CompareTables(names[DrawIndex(names.size(), rng)], now, actions);
+}
+
+void Membership::Publish(MembershipActions* actions) {
+  if (!m_table_changed) return;
+  m_table_changed = false;
+  actions->emplace_back(PublishTable{m_table.Routable()});
+}
+
+// --- Builder ---------------------------------------------------------------
+
+Membership::Builder& Membership::Builder::SetSelf(const Member& self) {
+  m_self = self;
+  return *this;
+}
+
+Membership::Builder& Membership::Builder::SetPolicy(
+    const MembershipPolicy& policy) {
+  m_policy = policy;
+  return *this;
+}
+
+std::optional<Membership> Membership::Builder::Build(Findings* findings) const {
+  const size_t before = findings->size();
+  const auto report = [findings](const char* text) {
+    findings->push_back({"membership", 0, 0, text});
+  };
+  if (!IsValidMember(m_self)) {
+    report("the node's own entry has an empty or too long field");
+  }
+  if (m_self.incarnation == 0) report("the node's incarnation is 0");
+  if (m_policy.probe_interval <= Duration::zero()) {
+    report("the probe interval is not above 0");
+  }
+  if (m_policy.gossip_interval <= Duration::zero()) {
+    report("the gossip interval is not above 0");
+  }
+  if (m_policy.successors == 0) report("the number of successors is 0");
+  if (findings->size() != before) return std::nullopt;
+  return Membership(m_self, m_policy);
+}
+
+}  // namespace vanillatiller
