Spread: Add the configuration holder; test both control modules

Cause: nodes polled the platform each on their own, which neither bounds the reads at the service nor keeps a restarted node from a stale value (P8), and learned of a departure only from the VM list (P6).

--- /dev/null
+++ b/Source/spread/config_value.h
@@ -0,0 +1,27 @@
+#ifndef VANILLATILLER_SOURCE_SPREAD_CONFIG_VALUE_H_
+#define VANILLATILLER_SOURCE_SPREAD_CONFIG_VALUE_H_
+
+#include <cstdint>
+#include <string>
+
+#include "base/base.h"
+
+namespace vanillatiller {
+
+// Identity of a configuration value. Version 0 means no value.
+struct ConfigStamp {
+  uint64_t version = 0;
+  Sha256Digest digest{};
+
+  bool operator==(const ConfigStamp&) const = default;
+};
+
+// A checked value in canonical form.
+struct ConfigValue {
+  ConfigStamp stamp;
+  std::string text;
+};
+
+}  // namespace vanillatiller
+
+#endif  // VANILLATILLER_SOURCE_SPREAD_CONFIG_VALUE_H_
--- /dev/null
+++ b/Tests/membership_test.cc
@@ -0,0 +1,401 @@
+#define BOOST_TEST_MODULE membership
+#include "membership/membership.h"
+
+#include <rapidcheck.h>
+
+#include <boost/test/unit_test.hpp>
+
+#include "fleet_harness.h"
+
+namespace vanillatiller {
+namespace {
+
+// Bound of docs/design.md for a killed VM and for a leaving server.
+constexpr Duration kOutBound = seconds(3);
+constexpr Duration kSettle = seconds(12);
+
+// Starts a fleet and lets it come to rest.
+std::unique_ptr<Fleet> Settled(const FleetOptions& options = {}) {
+  auto fleet = std::make_unique<Fleet>(options);
+  fleet->Publish(1, "first");
+  fleet->StartAll();
+  fleet->Run(kSettle);
+  BOOST_TEST_REQUIRE(fleet->SeesEverybody());
+  return fleet;
+}
+
+uint64_t Total(const Fleet& fleet, uint64_t MembershipCounters::*counter) {
+  uint64_t sum = 0;
+  for (const auto& node : fleet.nodes) {
+    sum += node.membership->counters().*counter;
+  }
+  return sum;
+}
+
+Member Entry(const std::string& vm, Incarnation incarnation, uint64_t sequence,
+             MemberState state) {
+  return {vm,      "orders",    "10.0.0.1:1", "north-1",
+          "north", incarnation, state,        sequence};
+}
+
+Membership Single() {
+  Findings findings;
+  return *Membership::Builder()
+              .SetSelf(Entry("self", 5, 0, MemberState::kLive))
+              .Build(&findings);
+}
+
+// Guards against an older word about a member replacing a newer one.
+BOOST_AUTO_TEST_CASE(NewerSupersedesOlder) {
+  struct Case {
+    Incarnation incarnation;
+    uint64_t sequence;
+    MemberState state;
+    bool supersedes;
+  };
+  const Member entry = Entry("a", 5, 3, MemberState::kSuspect);
+  for (const Case& c : std::vector<Case>{{4, 9, MemberState::kFailed, false},
+                                         {5, 2, MemberState::kFailed, false},
+                                         {5, 3, MemberState::kLive, false},
+                                         {5, 3, MemberState::kSuspect, false},
+                                         {5, 3, MemberState::kLeaving, true},
+                                         {5, 3, MemberState::kFailed, true},
+                                         {5, 4, MemberState::kLive, true},
+                                         {6, 0, MemberState::kLive, true}}) {
+    const Member update = Entry("a", c.incarnation, c.sequence, c.state);
+    BOOST_TEST(Supersedes(update, entry) == c.supersedes);
+  }
+}
+
+// Guards against tables that depend on the order in which updates arrive, which
+// would never become equal.
+BOOST_AUTO_TEST_CASE(TablesConvergeInAnyOrder) {
+  const bool holds = rc::check("order of updates", [] {
+    const auto drawn = *rc::gen::container<std::vector<std::vector<int>>>(
+        rc::gen::container<std::vector<int>>(4, rc::gen::inRange(1, 4)));
+    ExchangeMessage forwards;
+    forwards.from_vm = "peer";
+    for (const auto& draw : drawn) {
+      forwards.updates.push_back(
+          Entry(std::string(1, static_cast<char>('a' + draw[0])), draw[1],
+                draw[2], static_cast<MemberState>(draw[3])));
+    }
+    ExchangeMessage backwards = forwards;
+    std::reverse(backwards.updates.begin(), backwards.updates.end());
+    Membership first = Single();
+    Membership second = Single();
+    first.OnExchange(forwards, TimePoint());
+    second.OnExchange(backwards, TimePoint());
+    RC_ASSERT(first.table().entries() == second.table().entries());
+    RC_ASSERT(first.table().Digest() == second.table().Digest());
+  });
+  BOOST_TEST(holds);
+}
+
+// Guards against malformed updates entering the table.
+BOOST_AUTO_TEST_CASE(InvalidUpdatesAreCounted) {
+  Membership membership = Single();
+  ExchangeMessage message;
+  message.updates = {Entry("", 1, 1, MemberState::kLive),
+                     Entry(std::string(200, 'x'), 1, 1, MemberState::kLive),
+                     Entry("a", 1, 1, static_cast<MemberState>(9))};
+  membership.OnExchange(message, TimePoint());
+  BOOST_TEST(membership.table().entries().size() == 1U);
+  BOOST_TEST(membership.counters().invalid_updates == 3U);
+}
+
+// Guards against settings that probe nobody or never gossip.
+BOOST_AUTO_TEST_CASE(BuilderReportsAllFindings) {
+  MembershipPolicy policy;
+  policy.successors = 0;
+  policy.probe_interval = Duration::zero();
+  Findings findings;
+  BOOST_TEST(!Membership::Builder().SetPolicy(policy).Build(&findings));
+  BOOST_TEST(findings.size() == 4U);
+}
+
+// Guards against neighbours on the ring that fail together.
+BOOST_AUTO_TEST_CASE(NeighboursAreInOtherDomains) {
+  MemberTable table;
+  for (int domain = 0; domain < 3; ++domain) {
+    for (int i = 0; i < 40; ++i) {
+      Member member =
+          Entry(absl::StrCat("vm-", domain, "-", i), 1, 0, MemberState::kLive);
+      member.failure_domain = absl::StrCat("north-", domain);
+      table.Put(member);
+    }
+  }
+  for (const auto& [vm, member] : table.entries()) {
+    ProbeRing ring;
+    ring.Rebuild(table, "north", vm);
+    for (const std::string& next : ring.Successors(2)) {
+      BOOST_TEST(table.Find(next)->failure_domain != member.failure_domain);
+    }
+  }
+}
+
+// Guards against a cost that grows with the fleet: a node at rest sends about
+// as much at 24 nodes as at 204.
+BOOST_AUTO_TEST_CASE(CostIsIndependentOfSize) {
+  std::vector<double> bytes;
+  for (const uint32_t nodes_per_domain : {4U, 34U}) {
+    FleetOptions options;
+    options.nodes_per_domain = nodes_per_domain;
+    auto fleet = Settled(options);
+    fleet->Run(seconds(20));
+    const uint64_t before = fleet->Sum(&Fleet::Node::bytes);
+    fleet->Run(seconds(20));
+    const uint64_t sent = fleet->Sum(&Fleet::Node::bytes) - before;
+    bytes.push_back(static_cast<double>(sent) / 20.0 /
+                    static_cast<double>(fleet->size()));
+  }
+  BOOST_TEST(bytes[0] < 14000.0);
+  BOOST_TEST(bytes[1] < 1.2 * bytes[0]);
+}
+
+// Guards against a killed VM that stays in routing for longer than the bound.
+BOOST_AUTO_TEST_CASE(KilledNodeIsOutInTime) {
+  for (const size_t victim : {0U, 9U, 23U}) {
+    auto fleet = Settled();
+    fleet->Kill(victim);
+    const auto time = fleet->RunUntil(
+        [&] { return fleet->IsOutEverywhere(victim); }, seconds(20));
+    BOOST_TEST_REQUIRE(time.has_value());
+    BOOST_TEST(ToMilliseconds(*time) <= ToMilliseconds(kOutBound));
+  }
+}
+
+// Guards against declaring a live node failed because one connection to it is
+// silent. The new connection and the indirect probes prove it live.
+BOOST_AUTO_TEST_CASE(SilentConnectionFailsNobody) {
+  auto fleet = Settled();
+  const std::string& victim = fleet->nodes[3].self.vm;
+  for (int round = 0; round < 5; ++round) {
+    for (const auto& node : fleet->nodes) {
+      fleet->silent.insert({node.self.vm, victim});
+    }
+    fleet->Run(seconds(2));
+    BOOST_TEST(fleet->SeesEverybody());
+  }
+  BOOST_TEST(Total(*fleet, &MembershipCounters::failures_declared) == 0U);
+}
+
+// Guards against one node with a bad path to a peer failing it for everybody.
+BOOST_AUTO_TEST_CASE(OneBadPathFailsNobody) {
+  auto fleet = Settled();
+  fleet->connected = [](const Member& from, const Member& to) {
+    return !(from.vm == "vm-0-0-0" && from.region == to.region &&
+             to.failure_domain == "region-0-1" && to.vm < "vm-0-1-2");
+  };
+  fleet->Run(seconds(20));
+  BOOST_TEST(Total(*fleet, &MembershipCounters::failures_declared) == 0U);
+}
+
+// P6: guards against new work for a leaving server, whichever news comes first.
+BOOST_AUTO_TEST_CASE(LeavingIsKnownInTime) {
+  struct Case {
+    const char* name;
+    bool by_backend;
+    // Number of nodes whose VM list shows the departure.
+    size_t informed;
+  };
+  for (const Case& c : std::vector<Case>{{"backend server", true, 0},
+                                         {"VM list of one node", false, 1},
+                                         {"VM list of all nodes", false, 24}}) {
+    auto fleet = Settled();
+    const size_t victim = 5;
+    if (c.by_backend) fleet->Leave(victim);
+    MemberList list = fleet->vm_list();
+    list[victim].state = MemberState::kLeaving;
+    size_t calls = 0;
+    fleet->vm_list = [&, plain = fleet->vm_list] {
+      return calls++ < c.informed ? list : plain();
+    };
+    const auto is_leaving = [&] {
+      return fleet->All([&](size_t i) {
+        return fleet->Seen(i, victim) == MemberState::kLeaving;
+      });
+    };
+    const auto time = fleet->RunUntil(is_leaving, seconds(20));
+    BOOST_TEST_REQUIRE(time.has_value(), c.name);
+    BOOST_TEST(ToMilliseconds(*time) <= ToMilliseconds(kOutBound), c.name);
+    // A lagging list that shows it live again changes nothing.
+    fleet->Run(seconds(20));
+    BOOST_TEST(is_leaving(), c.name);
+  }
+}
+
+// Guards against a VM list that lies: it may not revive a failed member, remove
+// a reachable one, or empty the fleet by marking everybody as leaving.
+BOOST_AUTO_TEST_CASE(LyingVmList) {
+  struct Case {
+    const char* name;
+    std::function<MemberList(MemberList)> lie;
+  };
+  const std::vector<Case> cases = {
+      {"lags", [](MemberList list) { return list; }},
+      {"is empty", [](MemberList) { return MemberList(); }},
+      {"lacks half",
+       [](MemberList list) {
+         list.resize(list.size() / 2);
+         return list;
+       }},
+      {"marks all leaving",
+       [](MemberList list) {
+         for (Member& member : list) member.state = MemberState::kLeaving;
+         return list;
+       }},
+  };
+  for (const Case& c : cases) {
+    auto fleet = Settled();
+    const MemberList truth = fleet->vm_list();
+    fleet->Kill(7);
+    fleet->Run(seconds(5));
+    BOOST_TEST_REQUIRE(fleet->IsOutEverywhere(7));
+    fleet->vm_list = [&] { return c.lie(truth); };
+    fleet->Run(seconds(30));
+    BOOST_TEST(fleet->IsOutEverywhere(7), c.name);
+    BOOST_TEST(fleet->SeesEverybody(), c.name);
+  }
+}
+
+// Guards against a restarted VM that stays failed, or is taken for its earlier
+// incarnation.
+BOOST_AUTO_TEST_CASE(RestartIsSeenWithItsIncarnation) {
+  auto fleet = Settled();
+  fleet->Kill(7);
+  fleet->Run(seconds(5));
+  fleet->Start(7);
+  fleet->Run(seconds(5));
+  BOOST_TEST(fleet->SeesEverybody());
+  const Incarnation incarnation = fleet->nodes[7].self.incarnation;
+  BOOST_TEST(fleet->All([&](size_t i) {
+    return fleet->nodes[i].membership->table().Find("vm-0-1-3")->incarnation ==
+           incarnation;
+  }));
+}
+
+// Guards against a node that resumes after a pause of 60 s and, with its stale
+// view, declares others failed.
+BOOST_AUTO_TEST_CASE(PausedNodeDoubtsItself) {
+  auto fleet = Settled();
+  fleet->Pause(2, seconds(60));
+  const auto out =
+      fleet->RunUntil([&] { return fleet->IsOutEverywhere(2); }, seconds(20));
+  BOOST_TEST(out.has_value());
+  fleet->Run(seconds(60));
+  const uint64_t declared =
+      Total(*fleet, &MembershipCounters::failures_declared);
+  fleet->Run(seconds(10));
+  BOOST_TEST(fleet->SeesEverybody());
+  BOOST_TEST(Total(*fleet, &MembershipCounters::failures_declared) == declared);
+  BOOST_TEST(fleet->nodes[2].membership->counters().failures_declared == 0U);
+}
+
+// Guards against a node that is cut off alone and fails the whole region.
+BOOST_AUTO_TEST_CASE(IsolatedNodeFailsNobody) {
+  auto fleet = Settled();
+  bool cut = true;
+  fleet->connected = [&](const Member& from, const Member& to) {
+    return !cut || (from.vm != "vm-1-0-0" && to.vm != "vm-1-0-0");
+  };
+  fleet->Run(seconds(60));
+  const size_t isolated = 8;
+  BOOST_TEST_REQUIRE(fleet->nodes[isolated].self.vm == "vm-1-0-0");
+  BOOST_TEST(fleet->IsOutEverywhere(isolated));
+  BOOST_TEST(fleet->nodes[isolated].membership->counters().failures_declared ==
+             0U);
+  BOOST_TEST(fleet->nodes[isolated].routed.size() == fleet->size());
+  cut = false;
+  fleet->Run(seconds(20));
+  BOOST_TEST(fleet->SeesEverybody());
+}
+
+// Guards against a partition between regions that empties the tables, and
+// against a flood of messages when it heals.
+BOOST_AUTO_TEST_CASE(PartitionBetweenRegionsHealsWithDeltas) {
+  auto fleet = Settled();
+  bool cut = true;
+  fleet->connected = [&](const Member& from, const Member& to) {
+    const bool crosses =
+        (from.region == "region-0") != (to.region == "region-0");
+    return !cut || !crosses;
+  };
+  fleet->Run(seconds(30));
+  BOOST_TEST(fleet->SeesEverybody());
+  fleet->Kill(0);
+  fleet->Run(seconds(30));
+  BOOST_TEST(!fleet->IsOutEverywhere(0));
+  const uint64_t quiet = fleet->Sum(&Fleet::Node::bytes);
+  fleet->Run(seconds(10));
+  const uint64_t before = fleet->Sum(&Fleet::Node::bytes);
+  cut = false;
+  fleet->Run(seconds(10));
+  const uint64_t after = fleet->Sum(&Fleet::Node::bytes);
+  BOOST_TEST(fleet->IsOutEverywhere(0));
+  BOOST_TEST(static_cast<double>(after - before) <
+             2.0 * static_cast<double>(before - quiet));
+}
+
+// Guards against the loss of a whole failure domain being spread as mass
+// suspicion at once, never being believed, or not healing.
+BOOST_AUTO_TEST_CASE(LostDomain) {
+  FleetOptions options;
+  options.nodes_per_domain = 10;
+  auto fleet = Settled(options);
+  bool cut = true;
+  fleet->connected = [&](const Member& from, const Member& to) {
+    const bool crosses = (from.failure_domain == "region-0-1") !=
+                         (to.failure_domain == "region-0-1");
+    return !cut || !crosses;
+  };
+  fleet->Run(seconds(4));
+  BOOST_TEST(Total(*fleet, &MembershipCounters::doubts) > 0U);
+  const size_t outside = 59;
+  size_t still_listed = 0;
+  for (size_t i = 10; i < 20; ++i) {
+    if (fleet->Seen(outside, i) != MemberState::kFailed) ++still_listed;
+  }
+  BOOST_TEST(still_listed >= 5U);
+  fleet->Run(seconds(26));
+  for (size_t i = 10; i < 20; ++i) {
+    BOOST_TEST((fleet->Seen(0, i) == MemberState::kFailed));
+  }
+  cut = false;
+  fleet->Run(seconds(40));
+  BOOST_TEST(fleet->SeesEverybody());
+}
+
+// Guards against an update that crosses a link between regions more often than
+// the relays' bound.
+BOOST_AUTO_TEST_CASE(FewCrossingsPerChange) {
+  FleetOptions options;
+  options.nodes_per_domain = 20;
+  auto fleet = Settled(options);
+  fleet->Run(seconds(20));
+  uint64_t crossings = 0;
+  fleet->on_message = [&](const Member& from, const Member& to) {
+    if (from.region == "region-0" && to.region == "region-1") ++crossings;
+  };
+  fleet->Run(seconds(10));
+  const uint64_t at_rest = crossings;
+  crossings = 0;
+  fleet->Leave(3);
+  fleet->Run(seconds(10));
+  const MembershipPolicy& policy = options.membership;
+  BOOST_TEST(crossings <= at_rest + policy.relays_per_region *
+                                        (policy.relay_transmissions + 1));
+}
+
+// Guards against a restart of the whole fleet that never settles.
+BOOST_AUTO_TEST_CASE(MassRestart) {
+  auto fleet = Settled();
+  for (size_t i = 0; i < fleet->size(); ++i) fleet->Kill(i);
+  fleet->Run(seconds(2));
+  fleet->StartAll();
+  fleet->Run(seconds(15));
+  BOOST_TEST(fleet->SeesEverybody());
+}
+
+}  // namespace
+}  // namespace vanillatiller
--- /dev/null
+++ b/Tests/spread_test.cc
@@ -0,0 +1,295 @@
+#define BOOST_TEST_MODULE spread
+#include "spread/spread.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include "fleet_harness.h"
+
+namespace vanillatiller {
+namespace {
+
+// Bound of docs/design.md for a configuration change.
+constexpr Duration kChangeBound = seconds(11);
+
+std::unique_ptr<Fleet> Settled(const FleetOptions& options = {}) {
+  auto fleet = std::make_unique<Fleet>(options);
+  fleet->Publish(7, "first");
+  fleet->StartAll();
+  fleet->Run(seconds(15));
+  BOOST_TEST_REQUIRE(fleet->HasEverywhere(7));
+  return fleet;
+}
+
+bool IsConfirmedEverywhere(const Fleet& fleet) {
+  return fleet.All(
+      [&](size_t i) { return fleet.nodes[i].spread->IsConfirmed(); });
+}
+
+// P8: guards against a change that is not in force everywhere in time, and
+// against a value that goes back, under each fault of the service and the
+// network. Each fault lasts while version 8 and then 9 are published.
+BOOST_AUTO_TEST_CASE(ChangesUnderFaults) {
+  struct Case {
+    const char* name;
+    std::function<void(Fleet*)> start;
+    std::function<void(Fleet*)> end;
+    // True if the change must be in force in time while the fault lasts.
+    bool in_time;
+  };
+  const auto nothing = [](Fleet*) {};
+  const std::vector<Case> cases = {
+      {"none", nothing, nothing, true},
+      {"service down for hours",
+       [](Fleet* fleet) { fleet->service.fault = ServiceStatus::kDown; },
+       [](Fleet* fleet) {
+         fleet->Run(std::chrono::hours(1));
+         fleet->service.fault = ServiceStatus::kValue;
+         fleet->Run(seconds(21));
+       },
+       false},
+      {"over the limit",
+       [](Fleet* fleet) { fleet->service.fault = ServiceStatus::kOverLimit; },
+       [](Fleet* fleet) {
+         fleet->service.fault = ServiceStatus::kValue;
+         fleet->Run(seconds(21));
+       },
+       false},
+      {"lost deltas", [](Fleet* fleet) { fleet->drop_deltas = true; }, nothing,
+       true},
+      {"a domain's readers killed",
+       [](Fleet* fleet) {
+         for (size_t i = 0; i < 8; ++i) {
+           if (fleet->nodes[i].spread->IsReader()) fleet->Kill(i);
+         }
+       },
+       nothing, true},
+      {"empty VM list",
+       [](Fleet* fleet) { fleet->vm_list = [] { return MemberList(); }; },
+       nothing, true},
+      {"region cut off from the others",
+       [](Fleet* fleet) {
+         fleet->connected = [](const Member& from, const Member& to) {
+           return (from.region == "region-0") == (to.region == "region-0");
+         };
+       },
+       nothing, true},
+      {"one node paused for 60 s",
+       [](Fleet* fleet) { fleet->Pause(4, seconds(60)); },
+       [](Fleet* fleet) { fleet->Run(seconds(61)); }, true},
+  };
+  for (const Case& c : cases) {
+    auto fleet = Settled();
+    c.start(fleet.get());
+    for (const uint64_t version : {8U, 9U}) {
+      fleet->Publish(version, "next");
+      const auto time = fleet->RunUntil(
+          [&] { return fleet->HasEverywhere(version); }, kChangeBound);
+      if (c.in_time) BOOST_TEST(time.has_value(), c.name);
+    }
+    c.end(fleet.get());
+    fleet->Run(kChangeBound);
+    BOOST_TEST(fleet->HasEverywhere(9), c.name);
+    BOOST_TEST(fleet->Sum(&Fleet::Node::reverts) == 0U, c.name);
+  }
+}
+
+// Restarts one node while the service is stale; the highest version that the
+// node held before and the versions afterwards show whether it went back.
+uint64_t RevertsWithStaleService(const SpreadPolicy& policy) {
+  FleetOptions options;
+  options.spread = policy;
+  auto fleet = Settled(options);
+  fleet->Publish(9, "newest");
+  fleet->Run(kChangeBound);
+  fleet->service.version = 7;
+  fleet->service.text = MakeValue(7, "first");
+  fleet->service.answers_anything = true;
+  for (const size_t index : {3U, 11U, 20U}) {
+    fleet->Kill(index);
+    fleet->Run(seconds(1));
+    fleet->Start(index);
+  }
+  fleet->Run(seconds(40));
+  BOOST_TEST(fleet->HasEverywhere(9));
+  return fleet->Sum(&Fleet::Node::reverts);
+}
+
+// P8: guards against going back to an older value when the service is stale,
+// both in running nodes and in nodes that restart with nothing. Without the
+// rule against lower versions, or without asking peers first, values go back.
+BOOST_AUTO_TEST_CASE(StaleService) {
+  BOOST_TEST(RevertsWithStaleService({}) == 0U);
+  SpreadPolicy believes_service;
+  believes_service.confirming_domains = 0;
+  believes_service.start_jitter = Duration::zero();
+  BOOST_TEST(RevertsWithStaleService(believes_service) > 0U);
+}
+
+// Guards against a node that calls itself confirmed before peers of two failure
+// domains answered.
+BOOST_AUTO_TEST_CASE(UnconfirmedWithoutPeers) {
+  auto fleet = Settled();
+  BOOST_TEST(IsConfirmedEverywhere(*fleet));
+  const Member alone = fleet->nodes[6].self;
+  bool cut = true;
+  fleet->connected = [&](const Member& from, const Member& to) {
+    const bool same_domain = from.failure_domain == to.failure_domain;
+    return !cut || same_domain ||
+           (from.failure_domain != alone.failure_domain &&
+            to.failure_domain != alone.failure_domain);
+  };
+  fleet->Kill(6);
+  fleet->Run(seconds(1));
+  fleet->Start(6);
+  fleet->Run(seconds(60));
+  const ConfigSpread& spread = *fleet->nodes[6].spread;
+  BOOST_TEST(spread.stamp().version == 7U);
+  BOOST_TEST(!spread.IsConfirmed());
+  cut = false;
+  fleet->Run(seconds(30));
+  BOOST_TEST(spread.IsConfirmed());
+}
+
+// Guards against silently keeping two values of one version: the value in force
+// stays, each node that meets the other one reports it, and a higher version
+// settles it. Two operators who build on one base cause this.
+BOOST_AUTO_TEST_CASE(TwoOperatorsOnOneBase) {
+  auto fleet = Settled();
+  bool cut = true;
+  fleet->connected = [&](const Member& from, const Member& to) {
+    return !cut || (from.region == "region-0") == (to.region == "region-0");
+  };
+  fleet->service.version = 8;
+  fleet->service.text = MakeValue(8, "first operator");
+  // Only the readers of the first region see the first operator's value.
+  for (size_t i = 0; i < 8; ++i) {
+    if (!fleet->nodes[i].spread->IsReader()) continue;
+    Membership::Generator rng;
+    fleet->nodes[i].spread->OnServiceAnswer(
+        {ServiceStatus::kValue, fleet->service.text}, fleet->now(), rng);
+  }
+  fleet->Publish(8, "second operator");
+  fleet->Run(seconds(5));
+  cut = false;
+  fleet->Run(seconds(10));
+  BOOST_TEST(fleet->HasEverywhere(8));
+  BOOST_TEST(fleet->Sum(&Fleet::Node::conflicts) > 0U);
+  for (const auto& node : fleet->nodes) {
+    const auto& conflict = node.spread->conflict();
+    BOOST_TEST(conflict.has_value() == (node.conflicts > 0));
+    if (!conflict) continue;
+    BOOST_TEST((conflict->in_force == node.spread->stamp()));
+    BOOST_TEST((conflict->other.digest != node.spread->stamp().digest));
+  }
+  fleet->Publish(9, "settled");
+  fleet->Run(kChangeBound);
+  BOOST_TEST(fleet->HasEverywhere(9));
+  BOOST_TEST(fleet->All([&](size_t i) {
+    return !fleet->nodes[i].spread->conflict().has_value();
+  }));
+}
+
+// Guards against an older answer that arrives late and overtakes a newer value.
+BOOST_AUTO_TEST_CASE(OvertakenVersion) {
+  auto fleet = Settled();
+  ConfigSpread& spread = *fleet->nodes[0].spread;
+  Membership::Generator rng;
+  const auto answer = [](uint64_t version) {
+    const std::string text = MakeValue(version, "late");
+    return FetchAnswer{{version, Sha256(text)}, true, {}, text};
+  };
+  spread.OnFetchAnswer("vm-0-0-1", answer(9), fleet->now(), rng);
+  BOOST_TEST(spread.stamp().version == 9U);
+  spread.OnFetchAnswer("vm-0-0-2", answer(8), fleet->now(), rng);
+  spread.OnServiceAnswer({ServiceStatus::kValue, MakeValue(8, "late")},
+                         fleet->now(), rng);
+  BOOST_TEST(spread.stamp().version == 9U);
+}
+
+// Guards against parts of a bad value coming into force, and against reading a
+// bad value from the service over and over.
+BOOST_AUTO_TEST_CASE(BadValueIsRefusedWhole) {
+  auto fleet = Settled();
+  fleet->Publish(8, "bad");
+  const uint64_t reads = fleet->service.reads;
+  fleet->Run(seconds(60));
+  BOOST_TEST(fleet->HasEverywhere(7));
+  BOOST_TEST(fleet->Sum(&Fleet::Node::refused) > 0U);
+  // Two readers in each of six domains, backing off.
+  BOOST_TEST(fleet->service.reads - reads < 12U * 12U);
+  fleet->Publish(9, "good");
+  fleet->Run(seconds(21));
+  BOOST_TEST(fleet->HasEverywhere(9));
+}
+
+// Guards against a value that is not the one that the peer announced.
+BOOST_AUTO_TEST_CASE(LyingPeer) {
+  auto fleet = Settled();
+  ConfigSpread& spread = *fleet->nodes[0].spread;
+  Membership::Generator rng;
+  FetchAnswer answer;
+  answer.stamp = {99, Sha256("something else")};
+  answer.value = MakeValue(8, "other");
+  const auto actions =
+      spread.OnFetchAnswer("vm-0-0-1", answer, fleet->now(), rng);
+  BOOST_TEST(actions.size() == 1U);
+  BOOST_TEST(spread.stamp().version == 7U);
+}
+
+// Guards against a stampede on the service when a whole fleet restarts or when
+// the service returns, and against readers that grow with the fleet.
+BOOST_AUTO_TEST_CASE(NoStampede) {
+  FleetOptions options;
+  options.nodes_per_domain = 34;
+  auto fleet = Settled(options);
+  const uint32_t readers = 2 * 6;
+  // A watch of 30 s for each reader.
+  uint64_t reads = fleet->service.reads;
+  fleet->Run(seconds(60));
+  BOOST_TEST(fleet->service.reads - reads <= 3U * readers);
+  fleet->service.fault = ServiceStatus::kDown;
+  fleet->Run(std::chrono::minutes(2));
+  reads = fleet->service.reads;
+  fleet->Run(seconds(20));
+  BOOST_TEST(fleet->service.reads - reads <= 3U * readers);
+  for (size_t i = 0; i < fleet->size(); ++i) fleet->Kill(i);
+  fleet->Run(seconds(1));
+  fleet->service.fault = ServiceStatus::kValue;
+  reads = fleet->service.reads;
+  fleet->StartAll();
+  // In the first moment every node may take itself for a reader, before it
+  // knows its peers; that many reads are spread over the start jitter.
+  fleet->Run(seconds(1));
+  BOOST_TEST(fleet->service.reads - reads <= fleet->size() / 2);
+  fleet->Run(seconds(14));
+  BOOST_TEST(fleet->HasEverywhere(7));
+  BOOST_TEST(IsConfirmedEverywhere(*fleet));
+}
+
+// Guards against sending the full value where a short delta would do, and
+// against deltas that grow without bound.
+BOOST_AUTO_TEST_CASE(DeltasAreSentAndBounded) {
+  auto fleet = Settled();
+  for (uint64_t version = 8; version < 48; ++version) {
+    fleet->Publish(version, "next");
+    fleet->Run(seconds(2));
+  }
+  BOOST_TEST_REQUIRE(fleet->HasEverywhere(47));
+  const ConfigSpread& spread = *fleet->nodes[0].spread;
+  const auto stamp = [](uint64_t version) {
+    return ConfigStamp{version, Sha256(MakeValue(version, "next"))};
+  };
+  const FetchAnswer recent = spread.AnswerFetch({stamp(45)});
+  BOOST_TEST(recent.deltas.size() == 2U);
+  BOOST_TEST(recent.value.empty());
+  const FetchAnswer old = spread.AnswerFetch({stamp(10)});
+  BOOST_TEST(old.deltas.empty());
+  BOOST_TEST(!old.value.empty());
+  // A base with another digest has no delta.
+  const FetchAnswer other = spread.AnswerFetch({{45, Sha256("other")}});
+  BOOST_TEST(!other.value.empty());
+  BOOST_TEST(spread.AnswerFetch({stamp(47)}).value.empty());
+}
+
+}  // namespace
+}  // namespace vanillatiller
