Routing: Prove that silent connections are replaced

Cause: open connections can go silent for good while new ones work; calls then wait on the old one until their deadline.

--- a/Source/vtstub/main.cc
+++ b/Source/vtstub/main.cc
@@ -16,7 +16,7 @@
 #include "vtstub/growing_task_queue.h"
 #include "vtstub/vtstub.h"
 
-ABSL_FLAG(std::string, mode, "backend", "backend or platform");
+ABSL_FLAG(std::string, mode, "backend", "backend, platform or relay");
 ABSL_FLAG(std::string, ip, "127.0.0.1", "IP number to listen on");
 ABSL_FLAG(int, port, 0, "port to listen on");
 ABSL_FLAG(std::string, config, "", "platform: file with the configuration");
@@ -31,6 +31,8 @@
 ABSL_FLAG(std::string, distribution, "constant",
           "backend: constant, exponential or lognormal service times");
 ABSL_FLAG(uint64_t, seed, 1, "backend: seed of the service times");
+ABSL_FLAG(int, listen_port, 0, "relay: port whose connections are forwarded");
+ABSL_FLAG(int, target_port, 0, "relay: port they are forwarded to");
 ABSL_FLAG(uint32_t, threads, 4000, "connections served at once");
 
 namespace vanillatiller {
@@ -82,6 +84,19 @@
   return calls;
 }
 
+int RunRelay() {
+  TcpRelay relay(absl::GetFlag(FLAGS_ip), absl::GetFlag(FLAGS_listen_port),
+                 absl::GetFlag(FLAGS_target_port));
+  if (!relay.Start()) {
+    std::cerr << "vtstub: cannot listen on port "
+              << absl::GetFlag(FLAGS_listen_port) << "\n";
+    return 1;
+  }
+  httplib::Server server;
+  relay.Install(server);
+  return Listen(&server);
+}
+
 int RunBackend() {
   const auto shape = ParseServiceTimeShape(absl::GetFlag(FLAGS_distribution));
   if (!shape) {
@@ -128,6 +143,7 @@
   const std::string mode = absl::GetFlag(FLAGS_mode);
   if (mode == "backend") return RunBackend();
   if (mode == "platform") return RunPlatform();
+  if (mode == "relay") return RunRelay();
   std::cerr << "vtstub: no mode \"" << mode << "\"\n";
   return 1;
 }
--- a/Source/vtstub/vtstub.h
+++ b/Source/vtstub/vtstub.h
@@ -10,5 +10,6 @@
 #include "vtstub/read_limiter.h"     // IWYU pragma: export
 #include "vtstub/service_time.h"     // IWYU pragma: export
 #include "vtstub/slot_pool.h"        // IWYU pragma: export
+#include "vtstub/tcp_relay.h"        // IWYU pragma: export
 
 #endif  // VANILLATILLER_SOURCE_VTSTUB_VTSTUB_H_
--- a/Tests/process_fleet.cc
+++ b/Tests/process_fleet.cc
@@ -71,7 +71,8 @@
     server.spec = std::move(spec);
     for (int* port :
          {&server.public_port, &server.local_port, &server.peer_port,
-          &server.admin_port, &server.backend_port}) {
+          &server.admin_port, &server.backend_port, &server.relay_port,
+          &server.relay_control_port}) {
       *port = FreePort();
     }
     m_servers.push_back(std::move(server));
@@ -84,6 +85,7 @@
              "--vms=" + WriteFile("vms.json", VmListJson())});
   for (size_t i = 0; i < m_servers.size(); ++i) {
     StartStub(m_servers[i]);
+    StartRelay(m_servers[i]);
     StartNode(i);
   }
 }
@@ -92,6 +94,7 @@
   for (const Server& server : m_servers) {
     End(server.node);
     End(server.stub);
+    End(server.relay);
   }
   End(m_platform);
   std::filesystem::remove_all(m_directory);
@@ -182,13 +185,14 @@
 std::string ProcessFleet::VmListJson() const {
   nlohmann::json list = nlohmann::json::array();
   for (const Server& server : m_servers) {
-    list.push_back(
-        {{"vm", server.spec.vm},
-         {"service", server.spec.service},
-         {"peer_address", "127.0.0.1:" + std::to_string(server.peer_port)},
-         {"failure_domain", server.spec.failure_domain},
-         {"region", server.spec.region},
-         {"state", "live"}});
+    const int port =
+        server.spec.behind_relay ? server.relay_port : server.peer_port;
+    list.push_back({{"vm", server.spec.vm},
+                    {"service", server.spec.service},
+                    {"peer_address", "127.0.0.1:" + std::to_string(port)},
+                    {"failure_domain", server.spec.failure_domain},
+                    {"region", server.spec.region},
+                    {"state", "live"}});
   }
   return list.dump();
 }
@@ -203,4 +207,12 @@
   server.stub = Spawn(std::move(arguments));
 }
 
+void ProcessFleet::StartRelay(Server& server) {
+  if (!server.spec.behind_relay) return;
+  server.relay = Spawn({VT_STUB_BINARY, "--mode=relay",
+                        "--port=" + std::to_string(server.relay_control_port),
+                        "--listen_port=" + std::to_string(server.relay_port),
+                        "--target_port=" + std::to_string(server.peer_port)});
+}
+
 }  // namespace vanillatiller
--- a/Tests/process_fleet.h
+++ b/Tests/process_fleet.h
@@ -25,6 +25,8 @@
     std::vector<std::string> stub_flags;
     // Lines added to the node's settings, for example a [policy] section.
     std::string extra_settings;
+    // Peers reach the node through a relay that can go silent.
+    bool behind_relay = false;
   };
 
   struct Server {
@@ -34,8 +36,12 @@
     int peer_port = 0;
     int admin_port = 0;
     int backend_port = 0;
+    // Where peers connect to, and the control port of the relay there.
+    int relay_port = 0;
+    int relay_control_port = 0;
     pid_t node = -1;
     pid_t stub = -1;
+    pid_t relay = -1;
   };
 
   ProcessFleet(std::string_view config, std::vector<ServerSpec> servers);
@@ -73,6 +79,7 @@
   std::string WriteFile(const std::string& name, const std::string& text);
   std::string VmListJson() const;
   void StartStub(Server& server);
+  void StartRelay(Server& server);
 
   std::string m_directory;
   std::vector<Server> m_servers;
