--- a/Source/admission/admission.cc
+++ b/Source/admission/admission.cc
@@ -225,6 +225,8 @@
   if (!traits.is_ranked) return RefusalCode::kNone;
   // Free slots are used in any case: unused capacity helps no one.
   if (queue.empty() && HasSlot()) return RefusalCode::kNone;
+  // Queued work of less importance is shed first (P2).
+  if (queue.HasLessImportant(flow.order_class)) return RefusalCode::kNone;
   if (!thresholds.ThresholdOf(flow).Admits(work.rank, work.shed_hash)) {
     return RefusalCode::kBelowThreshold;
   }
--- a/Source/admission/admission.h
+++ b/Source/admission/admission.h
@@ -13,6 +13,7 @@
 #include <string_view>
 #include <vector>
 
+#include "admission/admission_policy.h"     // IWYU pragma: export
 #include "admission/admission_threshold.h"  // IWYU pragma: export
 #include "admission/threshold_table.h"      // IWYU pragma: export
 #include "admission/work.h"                 // IWYU pragma: export
@@ -20,18 +21,6 @@
 
 namespace vanillatiller {
 
-enum class AdmissionPolicy : uint8_t {
-  // Adaptive limit, ranked queue and thresholds.
-  kAdaptive = 1,
-  // The declared slots and a first-come queue without ranks; a baseline.
-  kFixed = 2,
-  // No limit; a baseline.
-  kNone = 3,
-};
-
-// "adaptive", "fixed" or "none"; nullopt for anything else.
-std::optional<AdmissionPolicy> ParseAdmissionPolicy(std::string_view name);
-
 struct TenantWeight {
   std::string tenant;
   uint32_t weight = 1;
--- a/Source/admission/threshold_controller.cc
+++ b/Source/admission/threshold_controller.cc
@@ -33,6 +33,8 @@
 // Refused part of nested calls at which the capacity factor falls: each wastes
 // the work of the services above.
 constexpr double kToleratedNestedRefusals = 0.01;
+// Fall of the capacity factor for each refused part of the nested calls.
+constexpr double kRefusedWeight = 0.3;
 constexpr double kMinFactor = 0.5;
 constexpr double kMaxFactor = 1.3;
 // A standing queue of less than this many calls is no overload, whatever delay
@@ -113,8 +115,12 @@
 void ThresholdController::CorrectCapacity(const WindowReport& report,
                                           bool has_standing_queue) {
   const double tolerated = kToleratedNestedRefusals * report.nested_offered;
-  if (has_standing_queue || report.nested_refused > tolerated) {
+  if (has_standing_queue) {
     m_capacity_factor *= kFactorFall;
+  } else if (report.nested_refused > tolerated) {
+    const double part =
+        static_cast<double>(report.nested_refused) / report.nested_offered;
+    m_capacity_factor *= std::max(kFactorFall, 1 - kRefusedWeight * part);
   } else if (report.utilization < kFullUtilization) {
     m_capacity_factor *= kFactorRise;
   }
--- a/Source/admission/work_queue.cc
+++ b/Source/admission/work_queue.cc
@@ -119,6 +119,14 @@
   return Take(found->second);
 }
 
+bool WorkQueue::HasLessImportant(uint32_t order_class) const {
+  for (auto item = m_classes.rbegin(); item != m_classes.rend(); ++item) {
+    if (item->first <= order_class) return false;
+    if (item->second.size > 0) return true;
+  }
+  return false;
+}
+
 uint32_t WorkQueue::CountAhead(uint32_t order_class, FlowIndex flow,
                                uint64_t position) const {
   uint32_t count = 0;
--- a/Source/admission/work_queue.h
+++ b/Source/admission/work_queue.h
@@ -58,6 +58,8 @@
   std::optional<QueuedWork> Remove(WorkId id);
 
   bool Contains(WorkId id) const { return m_ids.contains(id); }
+  // True if a call of a later class than `order_class` waits.
+  bool HasLessImportant(uint32_t order_class) const;
   // Least number of queued calls that go before a new one at this place.
   uint32_t CountAhead(uint32_t order_class, FlowIndex flow,
                       uint64_t position) const;
--- a/Source/node/settings.h
+++ b/Source/node/settings.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <string_view>
 
+#include "admission/admission_policy.h"
 #include "base/base.h"
 
 namespace vanillatiller {
@@ -20,7 +21,6 @@
   std::string ToString() const { return ip + ":" + std::to_string(port); }
 };
 
-enum class AdmissionPolicy : uint8_t { kAdaptive, kFixed, kNone };
 enum class RetryPolicyKind : uint8_t { kChainBudget, kPlain };
 enum class RoutingPolicy : uint8_t { kTwoChoices, kRandom };
 
