Node: Admit calls by Admission and refuse by thresholds at the entry

The callee took calls up to the declared slots and refused the rest, whatever their rank. It now asks Admission through AdmissionGate, answers carry limit, queue length and the strictest threshold of the call chain below, and the entry node refuses by it. Time that a call waits for downstream calls does not count as latency of its backend server. A call cancelled before its dispatch no longer reaches the backend server.

--- a/Source/node/active_calls.cc
+++ b/Source/node/active_calls.cc
@@ -27,6 +27,34 @@
   return m_attempts_below;
 }
 
+void ActiveCall::BeginDownstream(TimePoint now) {
+  const std::lock_guard lock(m_mutex);
+  if (m_downstream_running++ == 0) m_downstream_since = now;
+}
+
+void ActiveCall::EndDownstream(TimePoint now) {
+  const std::lock_guard lock(m_mutex);
+  if (--m_downstream_running == 0) {
+    m_downstream_time += now - m_downstream_since;
+  }
+}
+
+Duration ActiveCall::downstream_time() const {
+  const std::lock_guard lock(m_mutex);
+  return m_downstream_time;
+}
+
+void ActiveCall::RecordThreshold(uint64_t packed) {
+  const std::lock_guard lock(m_mutex);
+  m_downstream_threshold = AdmissionThreshold::Stricter(
+      m_downstream_threshold, AdmissionThreshold::FromPacked(packed));
+}
+
+AdmissionThreshold ActiveCall::downstream_threshold() const {
+  const std::lock_guard lock(m_mutex);
+  return m_downstream_threshold;
+}
+
 std::shared_ptr<ActiveCall> ActiveCalls::Add(const CallContext& context,
                                              std::string token) {
   auto call = std::make_shared<ActiveCall>(context, std::move(token));
--- a/Source/node/active_calls.h
+++ b/Source/node/active_calls.h
@@ -8,6 +8,7 @@
 #include <string_view>
 #include <unordered_map>
 
+#include "admission/admission_threshold.h"
 #include "base/base.h"
 #include "node/cancellation.h"
 
@@ -39,6 +40,16 @@
   void AddAttempts(uint32_t count);
   uint32_t attempts_below() const;
 
+  // Must be called around each downstream call.
+  void BeginDownstream(TimePoint now);
+  void EndDownstream(TimePoint now);
+  // Time of ended downstream calls; calls that run side by side count once.
+  Duration downstream_time() const;
+
+  // Keeps the strictest threshold of the services called below.
+  void RecordThreshold(uint64_t packed);
+  AdmissionThreshold downstream_threshold() const;
+
  private:
   const CallContext m_context;
   const std::string m_token;
@@ -46,6 +57,10 @@
   mutable std::mutex m_mutex;
   std::optional<DownstreamRefusal> m_last_refusal;
   uint32_t m_attempts_below = 0;
+  uint32_t m_downstream_running = 0;
+  TimePoint m_downstream_since;
+  Duration m_downstream_time{};
+  AdmissionThreshold m_downstream_threshold;
 };
 
 // The active calls of one node, found by token. Safe to use from several
--- a/Source/node/callee.cc
+++ b/Source/node/callee.cc
@@ -1,9 +1,33 @@
 #include "node/callee.h"
 
-#include <limits>
+#include <string>
 #include <utility>
 
 namespace vanillatiller {
+namespace {
+
+std::string RefusalText(RefusalCode code) {
+  switch (code) {
+    case RefusalCode::kBelowThreshold:
+      return "admission threshold: more important work fills the slots";
+    case RefusalCode::kDeadlineExceeded:
+      return "cannot finish before its deadline";
+    case RefusalCode::kCancelled:
+      return "cancelled by the caller while it waited";
+    default:
+      return "no slot became free in time";
+  }
+}
+
+BackendOutcome OutcomeOf(const CallAnswer& answer) {
+  if (answer.outcome == Outcome::kComplete) return BackendOutcome::kOk;
+  if (answer.reason.code == RefusalCode::kBackendRefused) {
+    return BackendOutcome::kShed;
+  }
+  return BackendOutcome::kFailed;
+}
+
+}  // namespace
 
 Callee::Callee(const Parts& parts)
     : m_settings(parts.settings),
@@ -12,6 +36,7 @@
       m_active_calls(parts.active_calls),
       m_incarnation(parts.incarnation),
       m_backend(parts.settings.backend, parts.settings.max_body_bytes),
+      m_gate(parts.settings, parts.view, BootClock::now()),
       m_workers(parts.settings.max_http_threads) {}
 
 Callee::~Callee() { m_workers.Shutdown(); }
@@ -28,26 +53,49 @@
   pending->received_at = now;
   {
     const std::lock_guard lock(m_mutex);
-    if (m_pending.size() >= SlotLimit(pending->context)) {
-      reason = {RefusalCode::kOverload, "no free slot"};
-    } else if (!m_pending.emplace(pending->context.call, pending).second) {
+    if (!m_pending.emplace(pending->context.call, pending).second) {
       reason = {RefusalCode::kDuplicateCall, "call is running already"};
     } else {
       ++m_unanswered;
     }
   }
   if (reason.code != RefusalCode::kNone) return Refuse(reason, pending->done);
-  m_workers.Post([this, pending] { Run(pending); });
+  Admit(pending, now);
+}
+
+void Callee::Admit(const std::shared_ptr<PendingCall>& pending, TimePoint now) {
+  pending->work = m_gate.NextId();
+  m_gate.Offer(pending->work, pending->context,
+               {.dispatch =
+                    [this, pending] {
+                      m_workers.Post([this, pending] { Run(pending); });
+                    },
+                .refuse =
+                    [this, pending](const struct Refuse& refuse) {
+                      EndRefused(*pending, refuse);
+                    }},
+               now);
+}
+
+void Callee::EndRefused(PendingCall& pending, const struct Refuse& refuse) {
+  CallAnswer answer = NotRun(refuse.code, RefusalText(refuse.code));
+  answer.attempts = 1;
+  answer.queue_wait = refuse.queue_wait;
+  Finish(pending, std::move(answer));
 }
 
-void Callee::Cancel(const CallId& call, TimePoint /*now*/) {
+void Callee::Cancel(const CallId& call, TimePoint now) {
   std::shared_ptr<ActiveCall> active;
+  WorkId work = 0;
   {
     const std::lock_guard lock(m_mutex);
     const auto found = m_pending.find(call);
     if (found == m_pending.end()) return;
+    found->second->is_cancelled = true;
     active = found->second->active;
+    work = found->second->work;
   }
+  m_gate.Cancel(work, now);
   if (active) active->cancellation().Cancel();
 }
 
@@ -60,8 +108,10 @@
 
 LoadReport Callee::load() const {
   LoadReport load;
-  const std::lock_guard lock(m_mutex);
-  load.in_flight = static_cast<uint32_t>(m_pending.size());
+  const AdmissionState state = m_gate.State();
+  load.in_flight = state.in_flight;
+  load.queued = state.queued;
+  load.concurrency_limit = state.limit;
   load.leaving = m_draining;
   load.incarnation = m_incarnation;
   return load;
@@ -94,17 +144,10 @@
   done(std::move(answer));
 }
 
-uint32_t Callee::SlotLimit(const CallContext& context) const {
-  constexpr uint32_t kNoLimit = std::numeric_limits<uint32_t>::max();
-  if (m_settings.admission == AdmissionPolicy::kNone) return kNoLimit;
-  const auto config = m_view.config();
-  const ServiceConfig* service =
-      config ? config->FindService(context.service) : nullptr;
-  return service ? service->slots : kNoLimit;
-}
-
 void Callee::Run(const std::shared_ptr<PendingCall>& pending) {
-  Finish(*pending, Execute(*pending));
+  CallAnswer answer = Execute(*pending);
+  ReportResult(*pending, answer);
+  Finish(*pending, std::move(answer));
 }
 
 CallAnswer Callee::Execute(PendingCall& pending) {
@@ -118,6 +161,7 @@
   {
     const std::lock_guard lock(m_mutex);
     pending.active = active;
+    if (pending.is_cancelled) active->cancellation().Cancel();
   }
   CallAnswer answer = m_backend.Dispatch(*active, pending.body, now);
   m_active_calls.Remove(active->token());
@@ -131,6 +175,22 @@
   return answer;
 }
 
+void Callee::ReportResult(const PendingCall& pending,
+                          const CallAnswer& answer) {
+  const TimePoint now = BootClock::now();
+  BackendResult result;
+  result.outcome = OutcomeOf(answer);
+  const Duration downstream =
+      pending.active ? pending.active->downstream_time() : Duration::zero();
+  result.latency = std::max(Duration::zero(), answer.backend_time - downstream);
+  const bool is_unreachable =
+      answer.reason.code == RefusalCode::kBackendUnreachable;
+  const bool was_unreachable =
+      m_is_backend_unreachable.exchange(is_unreachable);
+  if (was_unreachable && !is_unreachable) m_gate.OnBackendRestarted(now);
+  m_gate.Finish(pending.work, result, now);
+}
+
 void Callee::Finish(PendingCall& pending, CallAnswer answer) {
   {
     const std::lock_guard lock(m_mutex);
@@ -140,6 +200,12 @@
     answer.refused_by = m_settings.service;
   }
   answer.load = load();
+  AdmissionThreshold threshold = m_gate.ThresholdFor(pending.context);
+  if (pending.active) {
+    threshold = AdmissionThreshold::Stricter(
+        threshold, pending.active->downstream_threshold());
+  }
+  answer.load.threshold = threshold.Packed();
   pending.done(std::move(answer));
   const std::lock_guard lock(m_mutex);
   --m_unanswered;
--- a/Source/node/callee.h
+++ b/Source/node/callee.h
@@ -11,6 +11,7 @@
 
 #include "base/base.h"
 #include "node/active_calls.h"
+#include "node/admission_gate.h"
 #include "node/backend_client.h"
 #include "node/call_answer.h"
 #include "node/fleet_view.h"
@@ -50,7 +51,11 @@
   // Waits until no call is in flight. False if `timeout` passes first.
   bool WaitUntilIdle(std::chrono::milliseconds timeout);
 
+  // To be called every 5 to 20 ms.
+  void OnTick(TimePoint now) { m_gate.OnTick(now); }
+
   LoadReport load() const;
+  AdmissionState admission_state() const { return m_gate.State(); }
 
  private:
   struct PendingCall {
@@ -58,15 +63,21 @@
     std::string body;
     Done done;
     TimePoint received_at;
+    WorkId work = 0;
     std::shared_ptr<ActiveCall> active;
+    bool is_cancelled = false;
   };
 
   // Why a call cannot be taken at all; code kNone if it can.
   Reason CheckAcceptable(const CallContext& context, TimePoint now) const;
   void Refuse(Reason reason, const Done& done) const;
-  uint32_t SlotLimit(const CallContext& context) const;
+  // Has the gate decide over a call that was entered in m_pending.
+  void Admit(const std::shared_ptr<PendingCall>& pending, TimePoint now);
+  void EndRefused(PendingCall& pending, const struct Refuse& refuse);
   void Run(const std::shared_ptr<PendingCall>& pending);
   CallAnswer Execute(PendingCall& pending);
+  // Tells the gate how a dispatched call ended.
+  void ReportResult(const PendingCall& pending, const CallAnswer& answer);
   void Finish(PendingCall& pending, CallAnswer answer);
 
   const NodeSettings& m_settings;
@@ -76,6 +87,8 @@
   const Incarnation m_incarnation;
   BackendClient m_backend;
   std::atomic<bool> m_draining{false};
+  std::atomic<bool> m_is_backend_unreachable{false};
+  AdmissionGate m_gate;
 
   mutable std::mutex m_mutex;
   std::condition_variable m_idle;
--- a/Source/node/entry.cc
+++ b/Source/node/entry.cc
@@ -31,9 +31,9 @@
       m_caller(parts.caller) {}
 
 CallAnswer Entry::Handle(EntryRequest request, TimePoint now) {
-  static constexpr std::array<Filter, 5> kFilters = {
-      &Entry::CheckDraining, &Entry::Identify, &Entry::InheritFromParent,
-      &Entry::SetDeadline,   &Entry::MakeCall,
+  static constexpr std::array<Filter, 6> kFilters = {
+      &Entry::CheckDraining, &Entry::Identify,       &Entry::InheritFromParent,
+      &Entry::SetDeadline,   &Entry::CheckThreshold, &Entry::MakeCall,
   };
   const bool is_outside = !request.is_local;
   if (is_outside) ++m_in_flight;
@@ -136,13 +136,36 @@
                 "deadline of the calling request has passed");
 }
 
+// Work that a service below would refuse is refused before anything is spent
+// on it. Calls of backend servers go on: work was spent on their requests.
+Entry::Step Entry::CheckThreshold(Exchange& exchange, TimePoint now) {
+  if (exchange.request.is_local) return Step::kNext;
+  if (m_settings.admission != AdmissionPolicy::kAdaptive) return Step::kNext;
+  const auto decision = m_thresholds.Check(exchange.context, now);
+  if (decision != ThresholdTable::Decision::kRefuse) return Step::kNext;
+  exchange.answer = NotRun(RefusalCode::kBelowThreshold,
+                           "service \"" + exchange.context.service +
+                               "\" or one below it is overloaded");
+  exchange.answer.refused_by = exchange.context.service;
+  return Step::kAnswered;
+}
+
 Entry::Step Entry::MakeCall(Exchange& exchange, TimePoint now) {
   Cancellation own_cancellation;
   Cancellation& cancellation =
       exchange.parent ? exchange.parent->cancellation() : own_cancellation;
+  if (exchange.parent) exchange.parent->BeginDownstream(now);
   exchange.answer =
       m_caller.Call(exchange.context, exchange.request.body, cancellation, now);
+  const TimePoint answered = BootClock::now();
+  const LoadReport& load = exchange.answer.load;
+  const bool has_load = load.incarnation != 0;
+  if (has_load && !exchange.request.is_local) {
+    m_thresholds.Update(exchange.context, load.threshold, answered);
+  }
   if (exchange.parent) {
+    exchange.parent->EndDownstream(answered);
+    if (has_load) exchange.parent->RecordThreshold(load.threshold);
     exchange.parent->AddAttempts(exchange.answer.attempts);
     if (!exchange.answer.refused_by.empty()) {
       exchange.parent->RecordRefusal(
--- a/Source/node/entry.h
+++ b/Source/node/entry.h
@@ -13,6 +13,7 @@
 #include "node/fleet_view.h"
 #include "node/id_source.h"
 #include "node/settings.h"
+#include "node/threshold_guard.h"
 
 namespace vanillatiller {
 
@@ -48,6 +49,9 @@
   // Blocks until the request is answered.
   CallAnswer Handle(EntryRequest request, TimePoint now);
 
+  // To be called about once a second.
+  void OnTick(TimePoint now) { m_thresholds.Expire(now); }
+
   void StartDrain() { m_draining = true; }
   // Requests of outside callers that are not answered yet.
   uint32_t in_flight() const { return m_in_flight; }
@@ -71,6 +75,7 @@
   Step Identify(Exchange& exchange, TimePoint now);
   Step InheritFromParent(Exchange& exchange, TimePoint now);
   Step SetDeadline(Exchange& exchange, TimePoint now);
+  Step CheckThreshold(Exchange& exchange, TimePoint now);
   Step MakeCall(Exchange& exchange, TimePoint now);
 
   static Step Refuse(Exchange& exchange, RefusalCode code, std::string text);
@@ -80,6 +85,7 @@
   IdSource& m_ids;
   ActiveCalls& m_active_calls;
   Caller& m_caller;
+  ThresholdGuard m_thresholds;
   std::atomic<bool> m_draining{false};
   std::atomic<uint32_t> m_in_flight{0};
 };
--- a/Source/node/node.cc
+++ b/Source/node/node.cc
@@ -10,6 +10,8 @@
 namespace vanillatiller {
 namespace {
 
+constexpr std::chrono::milliseconds kAdmissionTick{10};
+constexpr std::chrono::milliseconds kThresholdTick{1000};
 constexpr std::chrono::milliseconds kDrainPoll{20};
 constexpr std::chrono::seconds kServerShutdownTime{2};
 
@@ -34,7 +36,11 @@
       m_platform(m_settings, m_view),
       m_public_front(m_settings.public_listener, m_settings),
       m_local_front(m_settings.local_listener, m_settings),
-      m_admin_front(m_settings.admin_listener, m_settings) {
+      m_admin_front(m_settings.admin_listener, m_settings),
+      m_admission_ticker(kAdmissionTick,
+                         [this](TimePoint now) { m_callee.OnTick(now); }),
+      m_threshold_ticker(kThresholdTick,
+                         [this](TimePoint now) { m_entry.OnTick(now); }) {
   m_public_front.ServeCalls(m_entry, /*is_local=*/false);
   m_local_front.ServeCalls(m_entry, /*is_local=*/true);
   m_admin_front.ServeText("/status", "application/json",
@@ -70,6 +76,8 @@
     return false;
   }
   m_platform.Start();
+  m_admission_ticker.Start();
+  m_threshold_ticker.Start();
   m_router.Start();
   Log(LogLevel::kInfo, "started",
       {{"service", m_settings.service},
@@ -109,6 +117,8 @@
       {"config_version", config ? config->version : 0},
       {"members", members ? members->size() : 0},
       {"in_flight", load.in_flight},
+      {"queued", load.queued},
+      {"concurrency_limit", load.concurrency_limit},
       {"leaving", load.leaving},
   };
   return status.dump(2);
--- a/Source/node/node.h
+++ b/Source/node/node.h
@@ -18,6 +18,7 @@
 #include "node/peer_service.h"
 #include "node/platform_client.h"
 #include "node/settings.h"
+#include "node/ticker.h"
 
 namespace vanillatiller {
 
@@ -55,6 +56,8 @@
   HttpFront m_local_front;
   HttpFront m_admin_front;
   std::unique_ptr<grpc::Server> m_server;
+  Ticker m_admission_ticker;
+  Ticker m_threshold_ticker;
 };
 
 }  // namespace vanillatiller
