--- a/Source/base/call_context.h
+++ b/Source/base/call_context.h
@@ -28,6 +28,8 @@
   bool idempotent = false;
   // The callee's incarnation as the caller knows it; 0 means unknown.
   Incarnation callee_incarnation = 0;
+  // The deadline on the callee's own clock; the epoch means unknown.
+  TimePoint not_after;
 };
 
 }  // namespace vanillatiller
--- a/Source/node/call_answer.cc
+++ b/Source/node/call_answer.cc
@@ -12,22 +12,28 @@
   return answer;
 }
 
-void LoadToWire(const LoadReport& load, v1::LoadReport* message) {
+}  // namespace
+
+void ToWire(const LoadReport& load, v1::LoadReport* message) {
   message->set_in_flight(load.in_flight);
   message->set_queued(load.queued);
   message->set_concurrency_limit(load.concurrency_limit);
   message->set_threshold(load.threshold);
   message->set_leaving(load.leaving);
   message->set_incarnation(load.incarnation);
+  message->set_clock_us(ToMicroseconds(load.clock.time_since_epoch()));
 }
 
-LoadReport LoadFromWire(const v1::LoadReport& message) {
-  return {message.in_flight(), message.queued(),  message.concurrency_limit(),
-          message.threshold(), message.leaving(), message.incarnation()};
+LoadReport FromWire(const v1::LoadReport& message) {
+  return {message.in_flight(),
+          message.queued(),
+          message.concurrency_limit(),
+          message.threshold(),
+          message.leaving(),
+          message.incarnation(),
+          ClockFromWire(message.clock_us())};
 }
 
-}  // namespace
-
 CallAnswer NotRun(RefusalCode code, std::string text) {
   return Failed(Outcome::kNotRun, code, std::move(text));
 }
@@ -47,7 +53,7 @@
   message->set_body_hash(HashBytes(answer.body));
   message->set_unspent_attempts(answer.unspent_attempts);
   message->set_attempts(answer.attempts);
-  LoadToWire(answer.load, message->mutable_load());
+  ToWire(answer.load, message->mutable_load());
   message->set_call_high(call.high);
   message->set_call_low(call.low);
   message->set_queue_wait_us(ToMicroseconds(answer.queue_wait));
@@ -73,7 +79,7 @@
   answer.body = message.body();
   answer.unspent_attempts = message.unspent_attempts();
   answer.attempts = message.attempts();
-  answer.load = LoadFromWire(message.load());
+  answer.load = FromWire(message.load());
   answer.queue_wait = std::chrono::microseconds(message.queue_wait_us());
   answer.backend_time = std::chrono::microseconds(message.backend_time_us());
   answer.ticket = message.ticket();
--- a/Source/node/call_answer.h
+++ b/Source/node/call_answer.h
@@ -17,6 +17,8 @@
   uint64_t threshold = 0;
   bool leaving = false;
   Incarnation incarnation = 0;
+  // The callee's clock when it made this report; the epoch means unknown.
+  TimePoint clock;
 };
 
 // The answer to one attempt of one call.
@@ -45,6 +47,9 @@
 // An answer that says that the call may or may not have run.
 CallAnswer UnknownOutcome(RefusalCode code, std::string text);
 
+void ToWire(const LoadReport& load, v1::LoadReport* message);
+LoadReport FromWire(const v1::LoadReport& message);
+
 void ToWire(const CallAnswer& answer, const CallId& call, v1::Answer* message);
 
 // Converts a received answer. An answer to another call, or one whose body
--- a/Source/wire/conversions.cc
+++ b/Source/wire/conversions.cc
@@ -1,5 +1,6 @@
 #include "wire/conversions.h"
 
+#include <algorithm>
 #include <string>
 
 namespace vanillatiller {
@@ -10,6 +11,8 @@
 constexpr uint32_t kMaxDepth = 64;
 constexpr uint32_t kMaxExtraAttempts = 1000;
 constexpr uint64_t kMaxTimeLeftUs = 3'600'000'000;
+// A hundred years; larger values do not fit into a TimePoint.
+constexpr uint64_t kMaxClockUs = 3'155'760'000'000'000;
 
 bool IsValidName(const std::string& name) {
   return !name.empty() && name.size() <= kMaxNameLength;
@@ -38,6 +41,8 @@
   message->set_extra_attempts(context.extra_attempts);
   message->set_idempotent(context.idempotent);
   message->set_callee_incarnation(context.callee_incarnation);
+  message->set_not_after_us(
+      ToMicroseconds(context.not_after.time_since_epoch()));
 }
 
 std::optional<CallContext> FromWire(const v1::CallContext& message,
@@ -62,8 +67,9 @@
                   reason);
   }
   if (message.extra_attempts() > kMaxExtraAttempts ||
-      message.time_left_us() > kMaxTimeLeftUs) {
-    return Refuse(bad, "extra attempts or time left is out of range", reason);
+      message.time_left_us() > kMaxTimeLeftUs ||
+      message.not_after_us() > kMaxClockUs) {
+    return Refuse(bad, "extra attempts or deadline is out of range", reason);
   }
   CallContext context;
   context.request = {{message.request_high(), message.request_low()}};
@@ -77,9 +83,18 @@
   context.extra_attempts = message.extra_attempts();
   context.idempotent = message.idempotent();
   context.callee_incarnation = message.callee_incarnation();
+  context.not_after = ClockFromWire(message.not_after_us());
+  if (message.not_after_us() != 0) {
+    context.deadline = std::min(context.deadline, context.not_after);
+  }
   return context;
 }
 
+TimePoint ClockFromWire(uint64_t microseconds) {
+  return TimePoint(
+      std::chrono::microseconds(std::min(microseconds, kMaxClockUs)));
+}
+
 v1::Outcome ToWire(Outcome outcome) {
   return static_cast<v1::Outcome>(outcome);
 }
--- a/Source/wire/conversions.h
+++ b/Source/wire/conversions.h
@@ -14,10 +14,14 @@
 
 // Checks and converts a received context. Gives nullopt and a reason
 // (kBadRequest, kDepthExceeded) for identities of zero, empty or oversized
-// names and values out of range. The deadline is counted from `now`.
+// names and values out of range. The deadline is counted from `now`, and is
+// never later than the one on the callee's clock.
 std::optional<CallContext> FromWire(const v1::CallContext& message,
                                     TimePoint now, Reason* reason);
 
+// A reading of a clock, in microseconds; values too large are cut off.
+TimePoint ClockFromWire(uint64_t microseconds);
+
 v1::Outcome ToWire(Outcome outcome);
 // Outcomes unknown to this version become kUnknown.
 Outcome FromWire(v1::Outcome outcome);
