--- a/Source/vtstub/main.cc
+++ b/Source/vtstub/main.cc
@@ -1,82 +1,134 @@
-// vtstub: stands in for a backend server or for the platform.
+// Command line of vtstub: one backend server, or the platform.
 
-#include <httplib.h>
 #include <signal.h>
+#include <sys/resource.h>
 
 #include <fstream>
 #include <iostream>
+#include <map>
 #include <sstream>
-#include <string>
-#include <thread>
 
 #include "absl/flags/flag.h"
 #include "absl/flags/parse.h"
 #include "absl/flags/usage.h"
 #include "absl/strings/str_split.h"
-#include "vtstub/backend_stub.h"
-#include "vtstub/platform_stub.h"
+#include "httplib.h"
+#include "vtstub/growing_task_queue.h"
+#include "vtstub/vtstub.h"
 
-ABSL_FLAG(std::string, mode, "backend", "\"backend\" or \"platform\"");
+ABSL_FLAG(std::string, mode, "backend", "backend or platform");
 ABSL_FLAG(std::string, ip, "127.0.0.1", "IP number to listen on");
 ABSL_FLAG(int, port, 0, "port to listen on");
-ABSL_FLAG(int, threads, 256, "threads, one for each open connection");
+ABSL_FLAG(std::string, config, "", "platform: file with the configuration");
+ABSL_FLAG(std::string, vms, "", "platform: file with the JSON list of VMs");
 ABSL_FLAG(std::string, name, "backend", "backend: name given in answers");
 ABSL_FLAG(int, node_port, 0, "backend: port of the node's local listener");
-ABSL_FLAG(int, service_ms, 0, "backend: service time in milliseconds");
 ABSL_FLAG(std::string, calls, "",
           "backend: downstream calls by method, for example "
           "\"book=ledger.charge,records.append;show=records.find\"");
-ABSL_FLAG(std::string, config, "", "platform: file with the configuration");
-ABSL_FLAG(std::string, vms, "", "platform: file with the VM list");
+ABSL_FLAG(uint32_t, slots, 0, "backend: concurrent calls; 0: no limit");
+ABSL_FLAG(double, service_ms, 0, "backend: mean service time");
+ABSL_FLAG(std::string, distribution, "constant",
+          "backend: constant, exponential or lognormal service times");
+ABSL_FLAG(uint64_t, seed, 1, "backend: seed of the service times");
+ABSL_FLAG(uint32_t, threads, 4000, "connections served at once");
 
 namespace vanillatiller {
 namespace {
 
-std::string ReadFile(const std::string& path) {
-  std::ifstream file(path);
-  std::stringstream text;
+constexpr size_t kKeepAliveRequests = 1'000'000'000;
+constexpr time_t kKeepAliveSeconds = 600;
+
+std::optional<std::string> ReadFile(const std::string& path) {
+  const std::ifstream file(path);
+  if (!file) {
+    std::cerr << "vtstub: cannot read " << path << "\n";
+    return std::nullopt;
+  }
+  std::ostringstream text;
   text << file.rdbuf();
   return text.str();
 }
 
-BackendStub::Options ReadBackendOptions() {
-  BackendStub::Options options;
-  options.name = absl::GetFlag(FLAGS_name);
-  options.node_ip = absl::GetFlag(FLAGS_ip);
-  options.node_port = absl::GetFlag(FLAGS_node_port);
-  options.service_time =
-      std::chrono::milliseconds(absl::GetFlag(FLAGS_service_ms));
-  const std::string calls = absl::GetFlag(FLAGS_calls);
-  for (const auto& part : absl::StrSplit(calls, ';', absl::SkipEmpty())) {
+// One open file for each connection.
+void RaiseFileLimit() {
+  rlimit limit{};
+  if (getrlimit(RLIMIT_NOFILE, &limit) != 0) return;
+  limit.rlim_cur = limit.rlim_max;
+  setrlimit(RLIMIT_NOFILE, &limit);
+}
+
+int Listen(httplib::Server* server) {
+  server->new_task_queue = [] {
+    return new GrowingTaskQueue(absl::GetFlag(FLAGS_threads));
+  };
+  server->set_keep_alive_max_count(kKeepAliveRequests);
+  server->set_keep_alive_timeout(kKeepAliveSeconds);
+  server->set_tcp_nodelay(true);
+  const int port = absl::GetFlag(FLAGS_port);
+  if (server->listen(absl::GetFlag(FLAGS_ip), port)) return 0;
+  std::cerr << "vtstub: cannot listen on port " << port << "\n";
+  return 1;
+}
+
+std::map<std::string, std::vector<std::string>> ParseCalls(
+    const std::string& text) {
+  std::map<std::string, std::vector<std::string>> calls;
+  for (const auto& part : absl::StrSplit(text, ';', absl::SkipEmpty())) {
     const std::pair<std::string, std::string> entry =
         absl::StrSplit(part, absl::MaxSplits('=', 1));
-    options.calls[entry.first] = absl::StrSplit(entry.second, ',');
+    calls[entry.first] = absl::StrSplit(entry.second, ',');
   }
-  return options;
+  return calls;
 }
 
-int Run() {
+int RunBackend() {
+  const auto shape = ParseServiceTimeShape(absl::GetFlag(FLAGS_distribution));
+  if (!shape) {
+    std::cerr << "vtstub: unknown --distribution\n";
+    return 1;
+  }
+  BackendServer backend({.name = absl::GetFlag(FLAGS_name),
+                         .node_ip = absl::GetFlag(FLAGS_ip),
+                         .node_port = absl::GetFlag(FLAGS_node_port),
+                         .calls = ParseCalls(absl::GetFlag(FLAGS_calls)),
+                         .slots = absl::GetFlag(FLAGS_slots),
+                         .shape = *shape,
+                         .service_time = std::chrono::duration_cast<Duration>(
+                             std::chrono::duration<double, std::milli>(
+                                 absl::GetFlag(FLAGS_service_ms))),
+                         .seed = absl::GetFlag(FLAGS_seed)});
   httplib::Server server;
-  const int threads = absl::GetFlag(FLAGS_threads);
-  server.new_task_queue = [threads] {
-    return new httplib::ThreadPool(threads);
-  };
-  server.set_keep_alive_max_count(1'000'000'000);
-  server.set_tcp_nodelay(true);
-  BackendStub backend(ReadBackendOptions());
-  PlatformStub platform(ReadFile(absl::GetFlag(FLAGS_config)),
-                        ReadFile(absl::GetFlag(FLAGS_vms)));
-  if (absl::GetFlag(FLAGS_mode) == "platform") {
-    platform.Install(server);
-  } else {
-    backend.Install(server);
+  backend.Install(&server);
+  return Listen(&server);
+}
+
+int RunPlatform() {
+  const auto config = ReadFile(absl::GetFlag(FLAGS_config));
+  const auto list = ReadFile(absl::GetFlag(FLAGS_vms));
+  if (!config || !list) return 1;
+  auto vms = nlohmann::json::parse(*list, nullptr, false);
+  if (!vms.is_array()) {
+    std::cerr << "vtstub: --vms is not a JSON array\n";
+    return 1;
   }
-  signal(SIGPIPE, SIG_IGN);
-  if (server.listen(absl::GetFlag(FLAGS_ip), absl::GetFlag(FLAGS_port))) {
-    return 0;
+  PlatformServer platform(std::move(vms));
+  if (!platform.SetConfig(*config)) {
+    std::cerr << "vtstub: --config is larger than 1 MB\n";
+    return 1;
   }
-  std::cerr << "vtstub: cannot listen on port " << absl::GetFlag(FLAGS_port)
-            << "\n";
+  httplib::Server server;
+  platform.Install(&server);
+  return Listen(&server);
+}
+
+int Main() {
+  signal(SIGPIPE, SIG_IGN);
+  RaiseFileLimit();
+  const std::string mode = absl::GetFlag(FLAGS_mode);
+  if (mode == "backend") return RunBackend();
+  if (mode == "platform") return RunPlatform();
+  std::cerr << "vtstub: no mode \"" << mode << "\"\n";
   return 1;
 }
 
@@ -84,9 +136,7 @@
 }  // namespace vanillatiller
 
 int main(int argc, char** argv) {
-  absl::SetProgramUsageMessage(
-      "vtstub --mode=backend|platform --port=N ...\n"
-      "Stands in for a backend server or for the platform.");
+  absl::SetProgramUsageMessage("stubs of backend servers and the platform");
   absl::ParseCommandLine(argc, argv);
-  return vanillatiller::Run();
+  return vanillatiller::Main();
 }
