Wire: Add mutual TLS between nodes, with certificates read again

Cause: the peer listener spoke plaintext only, whatever the settings said. Change: section [tls] names certificate, key and authority; both sides must prove themselves; files are read again every 5 s. Conclusion: done; names in certificates are not compared, since VMs are replaced and addressed by IP number.

--- a/Source/node/node.cc
+++ b/Source/node/node.cc
@@ -27,7 +27,7 @@
 Node::Node(NodeSettings settings)
     : m_settings(std::move(settings)),
       m_incarnation(NewIncarnation()),
-      m_channels(grpc::InsecureChannelCredentials()),
+      m_channels(MakeChannelCredentials(m_settings.certificates)),
       m_router({m_settings, m_view, m_ids, m_channels}),
       m_callee({m_settings, m_view, m_ids, m_active_calls, m_incarnation}),
       m_caller({m_settings, m_view, m_ids, m_channels, m_router, m_callee}),
@@ -56,7 +56,8 @@
   grpc::ServerBuilder builder;
   int port = 0;
   builder.AddListeningPort(m_settings.peer_listener.ToString(),
-                           grpc::InsecureServerCredentials(), &port);
+                           MakeServerCredentials(m_settings.certificates),
+                           &port);
   builder.RegisterService(&m_peer_service);
   m_server = builder.BuildAndStart();
   if (!m_server || port == 0) {
--- a/Source/node/settings.cc
+++ b/Source/node/settings.cc
@@ -95,9 +95,10 @@
   void ReadOptionalSections(const toml::table& root, NodeSettings* settings) {
     if (const toml::table* tls = root["tls"].as_table()) {
       m_reader.CheckFields(*tls, {"certificate", "key", "ca"});
-      m_reader.ReadString(*tls, "certificate", &settings->certificate_file);
-      m_reader.ReadString(*tls, "key", &settings->key_file);
-      m_reader.ReadString(*tls, "ca", &settings->ca_file);
+      m_reader.ReadString(*tls, "certificate",
+                          &settings->certificates.certificate);
+      m_reader.ReadString(*tls, "key", &settings->certificates.key);
+      m_reader.ReadString(*tls, "ca", &settings->certificates.ca);
     }
     if (const toml::table* limits = root["limits"].as_table()) {
       m_reader.CheckFields(*limits, {"max_body_bytes", "max_http_threads"});
@@ -121,7 +122,7 @@
   // to this VM unless the operator says otherwise.
   void CheckPeerListener(const toml::table& root,
                          const NodeSettings& settings) {
-    if (!settings.certificate_file.empty() || settings.allow_plaintext ||
+    if (!settings.certificates.IsEmpty() || settings.allow_plaintext ||
         IsLoopback(settings.peer_listener.ip)) {
       return;
     }
--- a/Source/node/settings.h
+++ b/Source/node/settings.h
@@ -10,6 +10,7 @@
 
 #include "admission/admission_policy.h"
 #include "base/base.h"
+#include "wire/credentials.h"
 
 namespace vanillatiller {
 
@@ -41,10 +42,8 @@
   ListenAddress platform;
 
   bool allow_plaintext = false;
-  // PEM files; empty means no TLS on the peer listener.
-  std::string certificate_file;
-  std::string key_file;
-  std::string ca_file;
+  // Of the peer listener and of calls to peers.
+  CertificateFiles certificates;
 
   // Largest body of a request or an answer, in bytes.
   size_t max_body_bytes = 1 << 20;
--- a/Source/wire/wire.h
+++ b/Source/wire/wire.h
@@ -5,5 +5,6 @@
 // conversions to the types of the base library.
 
 #include "wire/conversions.h"  // IWYU pragma: export
+#include "wire/credentials.h"  // IWYU pragma: export
 
 #endif  // VANILLATILLER_SOURCE_WIRE_WIRE_H_
--- a/Utilities/packages.sh
+++ b/Utilities/packages.sh
@@ -7,7 +7,7 @@
   pkg-config libabsl-dev libgrpc++-dev libprotobuf-dev libcpp-httplib-dev
   libtomlplusplus-dev libboost-dev libboost-log-dev libboost-test-dev
   libboost-random-dev liburcu-dev librapidcheck-dev nlohmann-json3-dev
-  libxxhash-dev libssl-dev libclang-rt-14-dev spin gnuplot-nox
+  libxxhash-dev libssl-dev openssl libclang-rt-14-dev spin gnuplot-nox
 )
 if dpkg-query -W -f='${db:Status-Abbrev}\n' "${packages[@]}" 2>/dev/null |
   grep -vq '^ii' || ! dpkg-query -W "${packages[@]}" >/dev/null 2>&1; then
