Admission: Close no class that finds free slots; ramp with few calls

The node test showed two faults: a ramp that waited for 128 calls kept a backend server of 4 slots at 1, and a wrong estimate of a flow's demand closed the protected rank while hardly anything of it waited. A class now closes only while calls of it, or of more important classes, stand in the queue; a ramp goes on once every slot was used about once.

--- a/Source/admission/admission.cc
+++ b/Source/admission/admission.cc
@@ -434,6 +434,7 @@
   parts.NoteTime(now);
   parts.RefuseExpired(now, actions);
   parts.Fill(now, actions);
+  ThresholdController::OnTick(parts.queue, &parts.flows);
 }
 
 void Admission::OnBackendRestarted(TimePoint now) {
--- a/Source/admission/concurrency_limit.cc
+++ b/Source/admission/concurrency_limit.cc
@@ -8,7 +8,7 @@
 namespace {
 
 // Fewer samples than this say too little of the mean latency.
-constexpr uint32_t kMinSamples = 128;
+constexpr double kMinSamples = 128;
 // Standard errors by which latency must fall for a lower limit to be kept.
 constexpr double kSignificance = 2.0;
 // Mean latency over the accepted one that starts a trial.
@@ -78,7 +78,10 @@
       m_phase == Phase::kTrialSettling || m_phase == Phase::kTrialMeasuring;
   if (is_trial && now - m_trial_started > kMaxTrial) return EndTrial(now);
   if (now >= m_accepted_until) m_accepted_slowdown = 1;
-  if (m_samples < kMinSamples) {
+  // A ramp goes on once every slot was used about once.
+  const bool is_ramp = m_phase == Phase::kRamp;
+  const double wanted = is_ramp ? std::min(m_limit, kMinSamples) : kMinSamples;
+  if (m_samples < wanted) {
     if (was_reached && m_phase == Phase::kSteady) Grow();
     return;
   }
--- a/Source/admission/flow_table.h
+++ b/Source/admission/flow_table.h
@@ -28,6 +28,9 @@
   // Smoothed calls per second, those refused elsewhere by the threshold
   // included.
   double demand = 0;
+  // Fewest calls of this class and more important ones that waited at a tick of
+  // this window.
+  uint32_t standing_queue = UINT32_MAX;
   // Windows without a call.
   uint32_t idle_windows = 0;
 };
--- a/Source/admission/threshold_controller.cc
+++ b/Source/admission/threshold_controller.cc
@@ -71,6 +71,13 @@
   return AdmissionThreshold::AtShare(RankOf(flow.order_class), flow.share);
 }
 
+void ThresholdController::OnTick(const WorkQueue& queue, FlowTable* flows) {
+  for (Flow& flow : flows->All()) {
+    const uint32_t waiting = queue.CountUpTo(flow.order_class);
+    flow.standing_queue = std::min(flow.standing_queue, waiting);
+  }
+}
+
 void ThresholdController::OnWindow(const WindowReport& report,
                                    FlowTable* flows) {
   MeasureDemand(report, flows);
@@ -159,6 +166,11 @@
     const bool is_idle = flow.idle_windows > kMaxIdleWindows;
     double target = demand.slots > 0 ? demand.granted / demand.slots : 1;
     if (is_used_up) target = 0;
+    // Estimates alone close no class whose calls find free slots.
+    if (flow.standing_queue < kMinStandingQueue) {
+      target = std::max(target, flow.share);
+    }
+    flow.standing_queue = UINT32_MAX;
     if (is_idle) target = 1;
     flow.share = MoveShare(flow.share, target, report.utilization);
     if (flow.share < 1 && !is_idle) is_class_used_up = true;
--- a/Source/admission/threshold_controller.h
+++ b/Source/admission/threshold_controller.h
@@ -7,6 +7,7 @@
 #include "admission/admission_threshold.h"
 #include "admission/flow_table.h"
 #include "admission/share_planner.h"
+#include "admission/work_queue.h"
 #include "base/base.h"
 
 namespace vanillatiller {
@@ -41,6 +42,9 @@
   // Counts a call towards the demand of its flow.
   void OnArrival(Flow* flow, uint32_t shed_hash);
 
+  // Notes what waits now, at every tick.
+  static void OnTick(const WorkQueue& queue, FlowTable* flows);
+
   void OnWindow(const WindowReport& report, FlowTable* flows);
 
   // Thresholds are in force only while there is overload.
--- a/Source/admission/work_queue.cc
+++ b/Source/admission/work_queue.cc
@@ -127,6 +127,15 @@
   return false;
 }
 
+uint32_t WorkQueue::CountUpTo(uint32_t order_class) const {
+  uint32_t count = 0;
+  for (const auto& [other_class, queue] : m_classes) {
+    if (other_class > order_class) break;
+    count += queue.size;
+  }
+  return count;
+}
+
 uint32_t WorkQueue::CountAhead(uint32_t order_class, FlowIndex flow,
                                uint64_t position) const {
   uint32_t count = 0;
--- a/Source/admission/work_queue.h
+++ b/Source/admission/work_queue.h
@@ -63,6 +63,8 @@
   // Least number of queued calls that go before a new one at this place.
   uint32_t CountAhead(uint32_t order_class, FlowIndex flow,
                       uint64_t position) const;
+  // Calls that wait in `order_class` and in more important classes.
+  uint32_t CountUpTo(uint32_t order_class) const;
   uint32_t size() const { return static_cast<uint32_t>(m_ids.size()); }
   bool empty() const { return m_ids.empty(); }
 
--- a/Tests/admission_test.cc
+++ b/Tests/admission_test.cc
@@ -345,6 +345,25 @@
   }
 }
 
+// Guards against a ramp that waits for more calls than a backend server with
+// few slots finishes: here 25 calls a second for each slot.
+BOOST_AUTO_TEST_CASE(LimitRampsUpWithFewCalls) {
+  for (const uint32_t slots : {4U, 13U, 115U}) {
+    ConcurrencyLimit limit(slots);
+    limit.StartCold(kStart);
+    BOOST_TEST(limit.Current() < slots);
+    TimePoint now = kStart;
+    for (int window = 0; window < 20; ++window) {
+      now += milliseconds(100);
+      for (double i = 0; i < 2.5 * limit.Current(); ++i) {
+        limit.OnLatency(1.0, now - milliseconds(40), now);
+      }
+      limit.OnWindow(true, now);
+    }
+    BOOST_TEST(limit.Current() == slots);
+  }
+}
+
 constexpr double kCapacity = 2000;  // Of 20 slots of 10 ms.
 
 DriverStream Stream(const char* name, uint32_t rank, const char* tenant,
