--- a/Source/toml/reader.h
+++ b/Source/toml/reader.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <initializer_list>
+#include <span>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -25,12 +26,14 @@
                            region.begin.column, std::move(text)});
   }
 
-  // Reports fields of `table` that are not in `known`.
+  // Reports fields of `table` that are in neither list.
   void CheckFields(const toml::table& table,
-                   std::initializer_list<std::string_view> known) {
+                   std::initializer_list<std::string_view> known,
+                   std::span<const std::string_view> also_known = {}) {
     for (const auto& [key, value] : table) {
       bool found = false;
       for (const std::string_view name : known) found |= key.str() == name;
+      for (const std::string_view name : also_known) found |= key.str() == name;
       if (!found) {
         Report(key.source(),
                "unknown field \"" + std::string(key.str()) + "\"");
