Node: Drive membership and configuration spread over gRPC and HTTP

Cause: every node polled the platform for configuration and members. Change: ControlPlane runs Membership and ConfigSpread, serves Exchange, IndirectProbe and FetchConfig, watches the service, reads the VM list (readers in turn, others rarely) and the backend server's health, and publishes into the FleetView. Gossip goes to a bounded set of neighbours, so connections do not grow with the fleet. The wire messages carry digests of parts of the member table. Conclusion: the node needs the platform only at a few readers.

--- a/Source/membership/membership.cc
+++ b/Source/membership/membership.cc
@@ -144,7 +144,7 @@
   MembershipActions actions;
   DetectPause(now);
   LeaveDoubtIfDue(now);
-  m_helpers = DrawNames(m_ring.others(), kHelpersPerTick, rng);
+  m_helpers = DrawNames(m_neighbours, kHelpersPerTick, rng);
   ExpireProbes(now, &actions);
   ExpireSuspicions(now);
   DropTombstones(now);
@@ -537,6 +537,7 @@
 }
 
 void Membership::ExpireSuspicions(TimePoint now) {
+  if (!m_suspicions.empty() && IsIsolated(now)) EnterDoubt(now);
   if (m_in_doubt) return;
   std::vector<std::string> expired;
   for (const auto& [vm, suspicion] : m_suspicions) {
@@ -578,7 +579,27 @@
     if (region != self().region) m_remote_updates.try_emplace(region);
   }
   if (m_policy.strategy != ProbeStrategy::kRandom) m_next_draw = now;
-  m_helpers = DrawNames(m_ring.others(), kHelpersPerTick, rng);
+  ChooseNeighbours();
+  m_helpers = DrawNames(m_neighbours, kHelpersPerTick, rng);
+}
+
+// The peers that this node gossips with: a bounded set, so that the number of
+// connections does not grow with the fleet. Each node draws its own by
+// rendezvous hashing, which makes a random graph that changes little when
+// members come and go. The ring successors make it connected.
+void Membership::ChooseNeighbours() {
+  m_neighbours = m_ring.Successors(m_policy.successors);
+  std::vector<std::pair<uint64_t, std::string>> weighted;
+  for (const std::string& vm : m_ring.others()) {
+    weighted.emplace_back(RendezvousWeight(m_self_vm, vm), vm);
+  }
+  std::sort(weighted.rbegin(), weighted.rend());
+  for (auto& [weight, vm] : weighted) {
+    if (m_neighbours.size() >= m_policy.neighbours) return;
+    const bool known = std::find(m_neighbours.begin(), m_neighbours.end(),
+                                 vm) != m_neighbours.end();
+    if (!known) m_neighbours.push_back(std::move(vm));
+  }
 }
 
 // Sets the targets anew when the ring changed, or each round for kRandom.
@@ -646,7 +667,7 @@
   if (m_updates.IsEmpty() && m_gossip_rounds == 0) return;
   m_next_gossip = now + m_policy.gossip_interval;
   if (m_gossip_rounds > 0) --m_gossip_rounds;
-  const auto names = DrawNames(m_ring.others(), m_policy.gossip_fanout, rng);
+  const auto names = DrawNames(m_neighbours, m_policy.gossip_fanout, rng);
   for (const std::string& name : names) {
     const Member* peer = m_table.Find(name);
     if (peer == nullptr) continue;
@@ -716,8 +737,8 @@
 // difference to show.
 void Membership::Synchronize(TimePoint now, Generator& rng,
                              MembershipActions* actions) {
-  if (!m_wants_sync || m_ring.others().empty()) return;
-  const auto& names = m_ring.others();
+  if (!m_wants_sync || m_neighbours.empty()) return;
+  const auto& names = m_neighbours;
   CompareTables(names[DrawIndex(names.size(), rng)], now, actions);
 }
 
--- a/Source/membership/membership.h
+++ b/Source/membership/membership.h
@@ -55,6 +55,8 @@
   // A node that only heard of a suspicion waits this many times longer.
   uint32_t secondhand_factor = 3;
   Duration gossip_interval = std::chrono::milliseconds(100);
+  // Peers that one node gossips with, its successors among them.
+  uint32_t neighbours = 10;
   // Peers that get the pending updates in one gossip round.
   uint32_t gossip_fanout = 3;
   // Times that one node sends one update within its region, which bounds the
@@ -229,6 +231,7 @@
   void ExpireSuspicions(TimePoint now);
   void DropTombstones(TimePoint now);
   void RefreshRing(TimePoint now, Generator& rng);
+  void ChooseNeighbours();
   void ChooseTargets(TimePoint now, Generator& rng);
   void SendDueProbes(TimePoint now, MembershipActions* actions);
   void Gossip(TimePoint now, Generator& rng, MembershipActions* actions);
@@ -248,6 +251,7 @@
   std::map<std::string, UpdateQueue> m_remote_updates;
   ProbeRing m_ring;
   std::vector<Target> m_targets;
+  std::vector<std::string> m_neighbours;
   // Relays of every region.
   std::map<std::string, std::vector<std::string>> m_relays;
   std::map<uint64_t, Probe> m_probes;
--- /dev/null
+++ b/Source/node/control_messages.h
@@ -0,0 +1,36 @@
+#ifndef VANILLATILLER_SOURCE_NODE_CONTROL_MESSAGES_H_
+#define VANILLATILLER_SOURCE_NODE_CONTROL_MESSAGES_H_
+
+#include <span>
+
+#include "membership/membership.h"
+#include "peer.pb.h"
+#include "spread/spread.h"
+
+namespace vanillatiller {
+
+// Conversions between the messages of the control modules and those on the
+// wire. Values received from peers are checked by the decision classes; digests
+// of another length than 32 bytes become zero.
+
+void ToWire(const Member& member, v1::MemberUpdate* message);
+Member FromWire(const v1::MemberUpdate& message);
+
+void ToWire(const ConfigStamp& stamp, bool confirmed,
+            v1::ConfigVersion* message);
+ConfigStamp FromWire(const v1::ConfigVersion& message);
+
+void ToWire(const ExchangeMessage& exchange, v1::ExchangeRequest* message);
+void ToWire(const ExchangeMessage& exchange, v1::ExchangeAnswer* message);
+ExchangeMessage FromWire(const v1::ExchangeRequest& message);
+ExchangeMessage FromWire(const v1::ExchangeAnswer& message);
+
+void ToWire(const FetchAnswer& answer, v1::FetchConfigAnswer* message);
+FetchAnswer FromWire(const v1::FetchConfigAnswer& message);
+
+void ToWire(const FetchRequest& request, v1::FetchConfigRequest* message);
+FetchRequest FromWire(const v1::FetchConfigRequest& message);
+
+}  // namespace vanillatiller
+
+#endif  // VANILLATILLER_SOURCE_NODE_CONTROL_MESSAGES_H_
--- /dev/null
+++ b/Source/node/control_plane.h
@@ -0,0 +1,150 @@
+#ifndef VANILLATILLER_SOURCE_NODE_CONTROL_PLANE_H_
+#define VANILLATILLER_SOURCE_NODE_CONTROL_PLANE_H_
+
+#include <grpcpp/grpcpp.h>
+
+#include <condition_variable>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <thread>
+
+#include "base/base.h"
+#include "membership/membership.h"
+#include "node/fleet_view.h"
+#include "node/peer_channels.h"
+#include "node/platform_client.h"
+#include "node/settings.h"
+#include "peer.grpc.pb.h"
+#include "spread/spread.h"
+
+namespace vanillatiller {
+
+// What operators see of the control plane.
+struct ControlStatus {
+  ConfigStamp config;
+  bool confirmed = false;
+  std::optional<ReportConflict> conflict;
+  bool reader = false;
+  bool relay = false;
+  bool in_doubt = false;
+  bool superseded = false;
+  bool backend_healthy = true;
+  MembershipCounters membership;
+  SpreadCounters spread;
+  // The whole table, failed members included.
+  MemberList members;
+};
+
+// Drives Membership and ConfigSpread: sends what they decide over gRPC and
+// HTTP, hands them what comes back, and publishes the member list and the
+// configuration into the FleetView.
+//
+// One lock guards both decision classes; no I/O takes place under it. One
+// thread runs the ticks and publishes, one waits for the configuration service,
+// one reads the VM list and the backend server's health.
+class ControlPlane {
+ public:
+  struct Parts {
+    const NodeSettings& settings;
+    FleetView& view;
+    Incarnation incarnation;
+    std::shared_ptr<grpc::ChannelCredentials> credentials;
+    std::shared_ptr<const DeltaCodec> codec;
+    std::shared_ptr<const ConfigValidator> validator;
+  };
+
+  explicit ControlPlane(const Parts& parts);
+  ~ControlPlane();
+
+  // False, with a reason, if the settings do not make a valid member.
+  bool Start(Reason* reason);
+  // Waits for the threads and for outstanding RPCs. Idempotent.
+  void Stop();
+
+  // Tells peers that this node is leaving.
+  void AnnounceLeaving();
+
+  // True once the VM list, a peer or the backend server said that this node is
+  // leaving.
+  bool IsLeaving() const;
+
+  // RPCs of other nodes.
+  void Exchange(const v1::ExchangeRequest& request, v1::ExchangeAnswer* answer);
+  void FetchConfig(const v1::FetchConfigRequest& request,
+                   v1::FetchConfigAnswer* answer);
+  // `done` is called once, on any thread; `answer` must live until then.
+  void IndirectProbe(const v1::IndirectProbeRequest& request,
+                     v1::IndirectProbeAnswer* answer,
+                     std::function<void()> done);
+
+  ControlStatus status() const;
+  // The value in force; nullptr if there is none.
+  std::shared_ptr<const ConfigValue> config_value() const;
+
+ private:
+  void RunTicks();
+  void RunWatch();
+  void RunPolls();
+  bool WaitUntil(TimePoint time);
+  void Publish();
+  void LogMemberChanges(const MemberList& before, const MemberList& after);
+
+  // These expect the lock to be held. They start RPCs, which never call back
+  // on the same thread.
+  void Perform(MembershipActions actions, TimePoint now);
+  void Perform(const SpreadActions& actions);
+  void Send(const SendProbe& probe);
+  void Send(const SendIndirectProbe& probe);
+  void Send(const FetchFromPeer& fetch);
+  std::shared_ptr<v1::Peer::Stub> StubFor(const std::string& address);
+  void DropIdleChannels(TimePoint now);
+  void HeardStamp(const std::string& vm, const v1::ConfigVersion& config,
+                  TimePoint now);
+  void FillConfig(v1::ConfigVersion* message) const;
+
+  void FinishProbe(uint64_t probe_id, const grpc::Status& status,
+                   const v1::ExchangeAnswer& answer);
+  void FinishFetch(const std::string& vm, const grpc::Status& status,
+                   const v1::FetchConfigAnswer& answer);
+  void RpcDone();
+
+  const NodeSettings& m_settings;
+  FleetView& m_view;
+  const Member m_self;
+  const std::shared_ptr<const DeltaCodec> m_codec;
+  const std::shared_ptr<const ConfigValidator> m_validator;
+  PeerChannels m_channels;
+  PlatformClient m_config_client;
+  PlatformClient m_vm_client;
+  PlatformClient m_backend_client;
+
+  mutable std::mutex m_mutex;
+  std::condition_variable m_wake;
+  std::condition_variable m_rpcs_done;
+  bool m_started = false;
+  bool m_stopping = false;
+  size_t m_outstanding_rpcs = 0;
+  Membership::Generator m_rng;
+  std::optional<Membership> m_membership;
+  std::optional<ConfigSpread> m_spread;
+  // Last use of each channel, by address.
+  std::map<std::string, TimePoint> m_channel_use;
+  TimePoint m_next_channel_check;
+  std::optional<WatchService> m_watch;
+  // Taken by the tick thread, which alone publishes.
+  std::optional<MemberList> m_new_members;
+  std::shared_ptr<const ConfigValue> m_new_config;
+  MemberList m_published_members;
+
+  std::thread m_tick_thread;
+  std::thread m_watch_thread;
+  std::thread m_poll_thread;
+};
+
+}  // namespace vanillatiller
+
+#endif  // VANILLATILLER_SOURCE_NODE_CONTROL_PLANE_H_
--- a/Source/node/node.cc
+++ b/Source/node/node.cc
@@ -5,6 +5,7 @@
 #include <thread>
 #include <utility>
 
+#include "node/fleet_config_validator.h"
 #include "node/log.h"
 
 namespace vanillatiller {
@@ -30,8 +31,11 @@
       m_callee({m_settings, m_view, m_ids, m_active_calls, m_incarnation}),
       m_caller({m_settings, m_view, m_ids, m_channels, m_router, m_callee}),
       m_entry({m_settings, m_view, m_ids, m_active_calls, m_caller}),
-      m_peer_service(m_settings, m_callee),
-      m_platform(m_settings, m_view),
+      m_control({m_settings, m_view, m_incarnation,
+                 grpc::InsecureChannelCredentials(),
+                 std::make_shared<FullValueCodec>(),
+                 std::make_shared<FleetConfigValidator>()}),
+      m_peer_service(m_settings, m_callee, m_control),
       m_public_front(m_settings.public_listener, m_settings),
       m_local_front(m_settings.local_listener, m_settings),
       m_admin_front(m_settings.admin_listener, m_settings) {
@@ -42,7 +46,7 @@
 }
 
 Node::~Node() {
-  m_platform.Stop();
+  m_control.Stop();
   if (m_server) m_server->Shutdown();
 }
 
@@ -69,7 +73,7 @@
                "listener: cannot bind " + address->ToString()};
     return false;
   }
-  m_platform.Start();
+  if (!m_control.Start(reason)) return false;
   m_router.Start();
   Log(LogLevel::kInfo, "started",
       {{"service", m_settings.service},
@@ -82,11 +86,12 @@
   Log(LogLevel::kInfo, "draining");
   m_entry.StartDrain();
   m_callee.StartDrain();
+  m_control.AnnounceLeaving();
   WaitUntilIdle();
   m_public_front.Stop();
   m_local_front.Stop();
   m_admin_front.Stop();
-  m_platform.Stop();
+  m_control.Stop();
   m_router.Stop();
   m_server->Shutdown(std::chrono::system_clock::now() + kServerShutdownTime);
   Log(LogLevel::kInfo, "stopped");
@@ -102,6 +107,7 @@
   const auto config = m_view.config();
   const auto members = m_view.members();
   const LoadReport load = m_callee.load();
+  const ControlStatus control = m_control.status();
   const nlohmann::json status = {
       {"vm", m_settings.vm},
       {"service", m_settings.service},
@@ -110,6 +116,17 @@
       {"members", members ? members->size() : 0},
       {"in_flight", load.in_flight},
       {"leaving", load.leaving},
+      {"config_confirmed", control.confirmed},
+      {"config_conflict", control.conflict.has_value()},
+      {"config_reader", control.reader},
+      {"config_reads", control.spread.service_reads},
+      {"membership_relay", control.relay},
+      {"membership_in_doubt", control.in_doubt},
+      {"membership_superseded", control.superseded},
+      {"suspicions", control.membership.suspicions},
+      {"failures_declared", control.membership.failures_declared},
+      {"refutations", control.membership.refutations},
+      {"backend_healthy", control.backend_healthy},
   };
   return status.dump(2);
 }
--- a/Source/node/node.h
+++ b/Source/node/node.h
@@ -9,6 +9,7 @@
 #include "node/active_calls.h"
 #include "node/callee.h"
 #include "node/caller.h"
+#include "node/control_plane.h"
 #include "node/entry.h"
 #include "node/fleet_view.h"
 #include "node/http_front.h"
@@ -16,7 +17,6 @@
 #include "node/peer_channels.h"
 #include "node/peer_router.h"
 #include "node/peer_service.h"
-#include "node/platform_client.h"
 #include "node/settings.h"
 
 namespace vanillatiller {
@@ -49,8 +49,8 @@
   Callee m_callee;
   Caller m_caller;
   Entry m_entry;
+  ControlPlane m_control;
   PeerService m_peer_service;
-  PlatformClient m_platform;
   HttpFront m_public_front;
   HttpFront m_local_front;
   HttpFront m_admin_front;
--- a/Source/node/peer_service.cc
+++ b/Source/node/peer_service.cc
@@ -22,8 +22,9 @@
 
 }  // namespace
 
-PeerService::PeerService(const NodeSettings& settings, Callee& callee)
-    : m_settings(settings), m_callee(callee) {}
+PeerService::PeerService(const NodeSettings& settings, Callee& callee,
+                         ControlPlane& control)
+    : m_settings(settings), m_callee(callee), m_control(control) {}
 
 grpc::ServerUnaryReactor* PeerService::Call(
     grpc::CallbackServerContext* /*context*/, const v1::CallRequest* request,
@@ -73,4 +74,32 @@
   return reactor;
 }
 
+grpc::ServerUnaryReactor* PeerService::Exchange(
+    grpc::CallbackServerContext* context, const v1::ExchangeRequest* request,
+    v1::ExchangeAnswer* response) {
+  m_control.Exchange(*request, response);
+  auto* reactor = context->DefaultReactor();
+  reactor->Finish(grpc::Status::OK);
+  return reactor;
+}
+
+grpc::ServerUnaryReactor* PeerService::IndirectProbe(
+    grpc::CallbackServerContext* context,
+    const v1::IndirectProbeRequest* request,
+    v1::IndirectProbeAnswer* response) {
+  auto* reactor = context->DefaultReactor();
+  m_control.IndirectProbe(*request, response,
+                          [reactor] { reactor->Finish(grpc::Status::OK); });
+  return reactor;
+}
+
+grpc::ServerUnaryReactor* PeerService::FetchConfig(
+    grpc::CallbackServerContext* context, const v1::FetchConfigRequest* request,
+    v1::FetchConfigAnswer* response) {
+  m_control.FetchConfig(*request, response);
+  auto* reactor = context->DefaultReactor();
+  reactor->Finish(grpc::Status::OK);
+  return reactor;
+}
+
 }  // namespace vanillatiller
--- a/Source/node/peer_service.h
+++ b/Source/node/peer_service.h
@@ -4,6 +4,7 @@
 #include <grpcpp/grpcpp.h>
 
 #include "node/callee.h"
+#include "node/control_plane.h"
 #include "node/settings.h"
 #include "peer.grpc.pb.h"
 
@@ -12,7 +13,8 @@
 // Receives the RPCs of other nodes.
 class PeerService final : public v1::Peer::CallbackService {
  public:
-  PeerService(const NodeSettings& settings, Callee& callee);
+  PeerService(const NodeSettings& settings, Callee& callee,
+              ControlPlane& control);
 
   grpc::ServerUnaryReactor* Call(grpc::CallbackServerContext* context,
                                  const v1::CallRequest* request,
@@ -23,10 +25,22 @@
   grpc::ServerUnaryReactor* Cancel(grpc::CallbackServerContext* context,
                                    const v1::CancelRequest* request,
                                    v1::CancelAnswer* response) override;
+  grpc::ServerUnaryReactor* Exchange(grpc::CallbackServerContext* context,
+                                     const v1::ExchangeRequest* request,
+                                     v1::ExchangeAnswer* response) override;
+  grpc::ServerUnaryReactor* IndirectProbe(
+      grpc::CallbackServerContext* context,
+      const v1::IndirectProbeRequest* request,
+      v1::IndirectProbeAnswer* response) override;
+  grpc::ServerUnaryReactor* FetchConfig(
+      grpc::CallbackServerContext* context,
+      const v1::FetchConfigRequest* request,
+      v1::FetchConfigAnswer* response) override;
 
  private:
   const NodeSettings& m_settings;
   Callee& m_callee;
+  ControlPlane& m_control;
 };
 
 }  // namespace vanillatiller
--- a/Source/node/platform_client.cc
+++ b/Source/node/platform_client.cc
@@ -3,18 +3,18 @@
 #include <httplib.h>
 
 #include <nlohmann/json.hpp>
-#include <optional>
 #include <string>
 #include <utility>
 
-#include "node/log.h"
-
 namespace vanillatiller {
 namespace {
 
-constexpr std::chrono::milliseconds kPollInterval{500};
 constexpr std::chrono::seconds kTimeout{2};
+// Added to the time that the service may hold a watch.
+constexpr std::chrono::seconds kWatchMargin{5};
 constexpr int kOk = 200;
+constexpr int kNoContent = 204;
+constexpr int kTooManyRequests = 429;
 
 std::optional<Member> ParseVm(const nlohmann::json& entry) {
   if (!entry.is_object()) return std::nullopt;
@@ -50,65 +50,63 @@
   return members;
 }
 
-PlatformClient::PlatformClient(const NodeSettings& settings, FleetView& view)
-    : m_settings(settings), m_view(view) {}
-
-PlatformClient::~PlatformClient() { Stop(); }
-
-void PlatformClient::Start() {
-  m_thread = std::thread([this] { Run(); });
+PlatformClient::PlatformClient(const ListenAddress& address)
+    : m_client(std::make_unique<httplib::Client>(address.ip, address.port)) {
+  m_client->set_connection_timeout(kTimeout);
+  m_client->set_read_timeout(kTimeout);
+  m_client->set_keep_alive(true);
+  m_client->set_tcp_nodelay(true);
 }
 
-void PlatformClient::Stop() {
-  {
-    const std::lock_guard lock(m_mutex);
-    m_stopping = true;
+PlatformClient::~PlatformClient() = default;
+
+ServiceAnswer PlatformClient::WatchConfig(uint64_t after_version,
+                                          Duration wait) {
+  using std::chrono::duration_cast;
+  using std::chrono::milliseconds;
+  const milliseconds wait_time = duration_cast<milliseconds>(wait);
+  m_client->set_read_timeout(wait_time + kWatchMargin);
+  const auto result =
+      m_client->Get("/v1/config?after=" + std::to_string(after_version) +
+                    "&wait_ms=" + std::to_string(wait_time.count()));
+  if (!result) return {ServiceStatus::kDown, ""};
+  switch (result->status) {
+    case kOk:
+      return {ServiceStatus::kValue, result->body};
+    case kNoContent:
+      return {ServiceStatus::kNothingNewer, ""};
+    case kTooManyRequests:
+      return {ServiceStatus::kOverLimit, ""};
+    default:
+      return {ServiceStatus::kDown, ""};
   }
-  m_wake.notify_all();
-  if (m_thread.joinable()) m_thread.join();
 }
 
-void PlatformClient::Run() {
-  std::unique_lock lock(m_mutex);
-  while (!m_stopping) {
-    lock.unlock();
-    PollConfig();
-    PollMembers();
-    lock.lock();
-    m_wake.wait_for(lock, kPollInterval, [this] { return m_stopping; });
-  }
+std::optional<VmListAnswer> PlatformClient::ReadVms() {
+  const auto result = m_client->Get("/v1/vms");
+  if (!result || result->status != kOk) return std::nullopt;
+  auto members = ParseVmList(result->body);
+  if (!members) return std::nullopt;
+  return VmListAnswer{std::move(*members), result->body.size()};
 }
 
-void PlatformClient::PollConfig() {
-  httplib::Client client(m_settings.platform.ip, m_settings.platform.port);
-  client.set_connection_timeout(kTimeout);
-  client.set_read_timeout(kTimeout);
-  const auto present = m_view.config();
-  const uint64_t version = present ? present->version : 0;
-  const auto result = client.Get("/v1/config?after=" + std::to_string(version));
-  if (!result || result->status != kOk) return;
-  Findings findings;
-  auto config = ParseFleetConfig(result->body, "configuration", &findings);
-  if (!config) {
-    Log(LogLevel::kError, "config-refused",
-        {{"findings", FormatFindings(findings)}});
-    return;
-  }
-  if (config->version <= version) return;
-  Log(LogLevel::kInfo, "config-in-force",
-      {{"version", std::to_string(config->version)}});
-  m_view.SetConfig(std::move(*config));
+BackendHealth PlatformClient::ReadHealth() {
+  const auto result = m_client->Get("/health");
+  if (!result) return {};
+  const auto body = nlohmann::json::parse(result->body, nullptr, false);
+  BackendHealth health;
+  health.healthy = result->status == kOk;
+  if (!body.is_object()) return health;
+  const auto flag = [&body](const char* name, bool otherwise) {
+    const auto found = body.find(name);
+    return found != body.end() && found->is_boolean() ? found->get<bool>()
+                                                      : otherwise;
+  };
+  health.healthy = health.healthy && flag("healthy", true);
+  health.leaving = flag("leaving", false);
+  return health;
 }
 
-void PlatformClient::PollMembers() {
-  httplib::Client client(m_settings.platform.ip, m_settings.platform.port);
-  client.set_connection_timeout(kTimeout);
-  client.set_read_timeout(kTimeout);
-  const auto result = client.Get("/v1/vms");
-  if (!result || result->status != kOk) return;
-  if (auto members = ParseVmList(result->body)) {
-    m_view.SetMembers(std::move(*members));
-  }
-}
+void PlatformClient::Cancel() { m_client->stop(); }
 
 }  // namespace vanillatiller
--- a/Source/node/platform_client.h
+++ b/Source/node/platform_client.h
@@ -1,36 +1,58 @@
 #ifndef VANILLATILLER_SOURCE_NODE_PLATFORM_CLIENT_H_
 #define VANILLATILLER_SOURCE_NODE_PLATFORM_CLIENT_H_
 
-#include <condition_variable>
-#include <mutex>
-#include <thread>
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string_view>
 
-#include "node/fleet_view.h"
+#include "base/base.h"
+#include "membership/member.h"
 #include "node/settings.h"
+#include "spread/messages.h"
+
+namespace httplib {
+class Client;
+}  // namespace httplib
 
 namespace vanillatiller {
 
-// Polls the platform's configuration service and VM list and publishes what
-// they say.
+// The platform's VM list and its size on the wire.
+struct VmListAnswer {
+  MemberList members;
+  size_t bytes = 0;
+};
+
+// What a backend server says of itself.
+struct BackendHealth {
+  bool healthy = false;
+  bool leaving = false;
+};
+
+// Reads the platform's configuration service and VM list, and the health of
+// the local backend server. Blocks; each thread needs its own, but Cancel may
+// be called from another thread.
 class PlatformClient {
  public:
-  PlatformClient(const NodeSettings& settings, FleetView& view);
+  explicit PlatformClient(const ListenAddress& address);
   ~PlatformClient();
 
-  void Start();
-  void Stop();
+  // Waits up to `wait` for a version above `after_version`.
+  ServiceAnswer WatchConfig(uint64_t after_version, Duration wait);
+
+  // nullopt if the platform does not answer with a list.
+  std::optional<VmListAnswer> ReadVms();
+
+  // GET /health. A backend server that does not answer, or not with 200, is
+  // unhealthy; "leaving": true in a JSON answer means that it is leaving.
+  BackendHealth ReadHealth();
+
+  // Ends the request that is being waited for.
+  void Cancel();
 
  private:
-  void Run();
-  void PollConfig();
-  void PollMembers();
-
-  const NodeSettings& m_settings;
-  FleetView& m_view;
-  std::mutex m_mutex;
-  std::condition_variable m_wake;
-  bool m_stopping = false;
-  std::thread m_thread;
+  const std::unique_ptr<httplib::Client> m_client;
 };
 
 // Parses the platform's VM list (JSON). Entries that lack a field are left
--- a/Source/spread/config_spread.h
+++ b/Source/spread/config_spread.h
@@ -40,7 +40,7 @@
   uint32_t confirming_domains = 2;
   // After this time without enough confirmed peers, unconfirmed ones count as
   // well: in a restart of the whole fleet there are no others.
-  Duration bootstrap_patience = std::chrono::seconds(4);
+  Duration bootstrap_patience = std::chrono::milliseconds(1500);
   // After this time a node that reaches too few peers puts the service's value
   // in force unconfirmed.
   Duration isolation_patience = std::chrono::seconds(12);
