Node: Record metrics on the request path and serve the Operator service

Cause: operators and the diagnosis need each node's numbers, and a release note must be compared with what the running fleet has in force.

Change: the entry, the caller, the callee and the router record into the registry. /metrics and /status on the admin listener, Operator.GetStatus, GetConfig and Drain on the peer listener. vtctl status, members, histogram, verify and drain. Drain raises SIGTERM in its own process, so a stop has one path whoever asks for it.

--- a/Source/node/callee.cc
+++ b/Source/node/callee.cc
@@ -11,6 +11,7 @@
       m_ids(parts.ids),
       m_active_calls(parts.active_calls),
       m_incarnation(parts.incarnation),
+      m_metrics(parts.metrics),
       m_backend(parts.settings.backend, parts.settings.max_body_bytes),
       m_workers(parts.settings.max_http_threads) {}
 
@@ -36,6 +37,7 @@
       ++m_unanswered;
     }
   }
+  m_metrics.RecordOffer(reason.code == RefusalCode::kOverload);
   if (reason.code != RefusalCode::kNone) return Refuse(reason, pending->done);
   m_workers.Post([this, pending] { Run(pending); });
 }
--- a/Source/node/callee.h
+++ b/Source/node/callee.h
@@ -10,6 +10,7 @@
 #include <unordered_map>
 
 #include "base/base.h"
+#include "metrics/metrics.h"
 #include "node/active_calls.h"
 #include "node/backend_client.h"
 #include "node/call_answer.h"
@@ -32,6 +33,7 @@
     IdSource& ids;
     ActiveCalls& active_calls;
     Incarnation incarnation;
+    MetricsRegistry& metrics;
   };
 
   explicit Callee(const Parts& parts);
@@ -74,6 +76,7 @@
   IdSource& m_ids;
   ActiveCalls& m_active_calls;
   const Incarnation m_incarnation;
+  MetricsRegistry& m_metrics;
   BackendClient m_backend;
   std::atomic<bool> m_draining{false};
 
--- a/Source/node/caller.cc
+++ b/Source/node/caller.cc
@@ -27,6 +27,13 @@
   return UnknownOutcome(RefusalCode::kConnectionLost, text);
 }
 
+// gRPC has one status code for a connection that could not be opened and for
+// one that was lost; only the text tells them apart.
+bool IsConnectFailure(const grpc::Status& status) {
+  return status.error_code() == grpc::StatusCode::UNAVAILABLE &&
+         status.error_message().find("failed to connect") != std::string::npos;
+}
+
 }  // namespace
 
 Caller::Caller(const Parts& parts)
@@ -34,7 +41,8 @@
       m_ids(parts.ids),
       m_channels(parts.channels),
       m_router(parts.router),
-      m_callee(parts.callee) {}
+      m_callee(parts.callee),
+      m_metrics(parts.metrics) {}
 
 CallAnswer Caller::Call(CallContext context, const std::string& body,
                         Cancellation& cancellation, TimePoint now) {
@@ -44,7 +52,31 @@
   if (!choice) return NotRun(reason.code, reason.text);
   context.call = m_ids.NextCall();
   context.callee_incarnation = choice->member.incarnation;
-  return Attempt(*choice, context, body, cancellation, now);
+  return RecordedAttempt(*choice, context, body, cancellation,
+                         /*is_first=*/true, now);
+}
+
+CallAnswer Caller::RecordedAttempt(const PeerChoice& choice,
+                                   const CallContext& context,
+                                   const std::string& body,
+                                   Cancellation& cancellation, bool is_first,
+                                   TimePoint now) {
+  AttemptSample sample;
+  // A caller's request does not come from this node's own service.
+  if (context.depth != 0) sample.caller = m_settings.service;
+  sample.callee = context.service;
+  sample.rank = context.rank;
+  sample.first = is_first;
+  m_metrics.StartAttempt(sample.caller, sample.callee, sample.rank);
+  CallAnswer answer = Attempt(choice, context, body, cancellation, now);
+  sample.outcome = answer.outcome;
+  sample.refusal = answer.reason.code;
+  sample.refused_by = answer.refused_by;
+  sample.round_trip = BootClock::now() - now;
+  sample.queue_wait = answer.queue_wait;
+  sample.backend_time = answer.backend_time;
+  m_metrics.EndAttempt(sample);
+  return answer;
 }
 
 CallAnswer Caller::Attempt(const PeerChoice& choice, const CallContext& context,
@@ -100,6 +132,9 @@
   cancellation.Remove(key);
   CallAnswer answer = status.ok() ? FromWire(response.answer(), context.call)
                                   : FromStatus(status, attempt.is_lost);
+  if (IsConnectFailure(status)) {
+    m_metrics.RecordConnectFailure(m_settings.service, context.service);
+  }
   m_router.End(attempt, answer, BootClock::now());
   return answer;
 }
--- a/Source/node/caller.h
+++ b/Source/node/caller.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "base/base.h"
+#include "metrics/metrics.h"
 #include "node/call_answer.h"
 #include "node/callee.h"
 #include "node/cancellation.h"
@@ -28,6 +29,7 @@
     PeerRouter& router;
     // Serves attempts whose chosen node is this one.
     Callee& callee;
+    MetricsRegistry& metrics;
   };
 
   explicit Caller(const Parts& parts);
@@ -38,6 +40,12 @@
                   Cancellation& cancellation, TimePoint now);
 
  private:
+  // Makes one attempt and records it; `is_first` is false for a repetition.
+  CallAnswer RecordedAttempt(const PeerChoice& choice,
+                             const CallContext& context,
+                             const std::string& body,
+                             Cancellation& cancellation, bool is_first,
+                             TimePoint now);
   CallAnswer Attempt(const PeerChoice& choice, const CallContext& context,
                      const std::string& body, Cancellation& cancellation,
                      TimePoint now);
@@ -52,6 +60,7 @@
   PeerChannels& m_channels;
   PeerRouter& m_router;
   Callee& m_callee;
+  MetricsRegistry& m_metrics;
 };
 
 }  // namespace vanillatiller
--- a/Source/node/entry.cc
+++ b/Source/node/entry.cc
@@ -28,7 +28,8 @@
       m_view(parts.view),
       m_ids(parts.ids),
       m_active_calls(parts.active_calls),
-      m_caller(parts.caller) {}
+      m_caller(parts.caller),
+      m_metrics(parts.metrics) {}
 
 CallAnswer Entry::Handle(EntryRequest request, TimePoint now) {
   static constexpr std::array<Filter, 5> kFilters = {
@@ -43,6 +44,7 @@
     if ((this->*filter)(exchange, now) == Step::kAnswered) break;
   }
   if (is_outside) --m_in_flight;
+  Record(exchange, BootClock::now() - now);
   return std::move(exchange.answer);
 }
 
@@ -152,6 +154,22 @@
   return Step::kAnswered;
 }
 
+void Entry::Record(const Exchange& exchange, Duration latency) {
+  const CallContext& context = exchange.context;
+  const CallAnswer& answer = exchange.answer;
+  RequestSample sample;
+  // Names in the context were found in the configuration.
+  sample.tenant = context.tenant;
+  sample.service = context.service;
+  sample.rank = context.rank;
+  sample.outcome = answer.outcome;
+  sample.refusal = answer.reason.code;
+  sample.latency = latency;
+  sample.queue_wait = answer.queue_wait;
+  sample.added = latency - answer.queue_wait - answer.backend_time;
+  m_metrics.RecordRequest(sample);
+}
+
 Entry::Step Entry::Refuse(Exchange& exchange, RefusalCode code,
                           std::string text) {
   exchange.answer = NotRun(code, std::move(text));
--- a/Source/node/entry.h
+++ b/Source/node/entry.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "base/base.h"
+#include "metrics/metrics.h"
 #include "node/active_calls.h"
 #include "node/call_answer.h"
 #include "node/caller.h"
@@ -41,6 +42,7 @@
     IdSource& ids;
     ActiveCalls& active_calls;
     Caller& caller;
+    MetricsRegistry& metrics;
   };
 
   explicit Entry(const Parts& parts);
@@ -73,6 +75,7 @@
   Step SetDeadline(Exchange& exchange, TimePoint now);
   Step MakeCall(Exchange& exchange, TimePoint now);
 
+  void Record(const Exchange& exchange, Duration latency);
   static Step Refuse(Exchange& exchange, RefusalCode code, std::string text);
 
   const NodeSettings& m_settings;
@@ -80,6 +83,7 @@
   IdSource& m_ids;
   ActiveCalls& m_active_calls;
   Caller& m_caller;
+  MetricsRegistry& m_metrics;
   std::atomic<bool> m_draining{false};
   std::atomic<uint32_t> m_in_flight{0};
 };
--- a/Source/node/node.cc
+++ b/Source/node/node.cc
@@ -1,7 +1,9 @@
 #include "node/node.h"
 
+#include <signal.h>
+#include <unistd.h>
+
 #include <chrono>
-#include <nlohmann/json.hpp>
 #include <thread>
 #include <utility>
 
@@ -20,17 +22,35 @@
       .count();
 }
 
+std::unique_ptr<MetricsRegistry> MakeMetrics() {
+  Findings findings;
+  return MetricsRegistryBuilder().Build(&findings);
+}
+
+// The main thread waits for this signal and drains the node.
+void RequestStop(const std::string& why) {
+  Log(LogLevel::kInfo, "stop-requested", {{"reason", why}});
+  kill(getpid(), SIGTERM);
+}
+
 }  // namespace
 
 Node::Node(NodeSettings settings)
     : m_settings(std::move(settings)),
       m_incarnation(NewIncarnation()),
+      m_metrics(MakeMetrics()),
       m_channels(grpc::InsecureChannelCredentials()),
-      m_router({m_settings, m_view, m_ids, m_channels}),
-      m_callee({m_settings, m_view, m_ids, m_active_calls, m_incarnation}),
-      m_caller({m_settings, m_view, m_ids, m_channels, m_router, m_callee}),
-      m_entry({m_settings, m_view, m_ids, m_active_calls, m_caller}),
+      m_router({m_settings, m_view, m_ids, m_channels, *m_metrics}),
+      m_callee({m_settings, m_view, m_ids, m_active_calls, m_incarnation,
+                *m_metrics}),
+      m_caller({m_settings, m_view, m_ids, m_channels, m_router, m_callee,
+                *m_metrics}),
+      m_entry(
+          {m_settings, m_view, m_ids, m_active_calls, m_caller, *m_metrics}),
+      m_report(
+          {m_settings, m_view, m_callee, m_entry, *m_metrics, m_incarnation}),
       m_peer_service(m_settings, m_callee),
+      m_operator_service({m_report, RequestStop}),
       m_platform(m_settings, m_view),
       m_public_front(m_settings.public_listener, m_settings),
       m_local_front(m_settings.local_listener, m_settings),
@@ -38,7 +58,9 @@
   m_public_front.ServeCalls(m_entry, /*is_local=*/false);
   m_local_front.ServeCalls(m_entry, /*is_local=*/true);
   m_admin_front.ServeText("/status", "application/json",
-                          [this] { return RenderStatus(); });
+                          [this] { return *m_report.Render("summary"); });
+  m_admin_front.ServeText("/metrics", "text/plain; version=0.0.4",
+                          [this] { return m_report.RenderMetrics(); });
 }
 
 Node::~Node() {
@@ -52,6 +74,7 @@
   builder.AddListeningPort(m_settings.peer_listener.ToString(),
                            grpc::InsecureServerCredentials(), &port);
   builder.RegisterService(&m_peer_service);
+  builder.RegisterService(&m_operator_service);
   m_server = builder.BuildAndStart();
   if (!m_server || port == 0) {
     *reason = {
@@ -98,20 +121,4 @@
   }
 }
 
-std::string Node::RenderStatus() const {
-  const auto config = m_view.config();
-  const auto members = m_view.members();
-  const LoadReport load = m_callee.load();
-  const nlohmann::json status = {
-      {"vm", m_settings.vm},
-      {"service", m_settings.service},
-      {"incarnation", m_incarnation},
-      {"config_version", config ? config->version : 0},
-      {"members", members ? members->size() : 0},
-      {"in_flight", load.in_flight},
-      {"leaving", load.leaving},
-  };
-  return status.dump(2);
-}
-
 }  // namespace vanillatiller
--- a/Source/node/node.h
+++ b/Source/node/node.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <string>
 
+#include "metrics/metrics.h"
 #include "node/active_calls.h"
 #include "node/callee.h"
 #include "node/caller.h"
@@ -13,11 +14,13 @@
 #include "node/fleet_view.h"
 #include "node/http_front.h"
 #include "node/id_source.h"
+#include "node/operator_service.h"
 #include "node/peer_channels.h"
 #include "node/peer_router.h"
 #include "node/peer_service.h"
 #include "node/platform_client.h"
 #include "node/settings.h"
+#include "node/status_report.h"
 
 namespace vanillatiller {
 
@@ -36,20 +39,22 @@
   void Drain();
 
  private:
-  std::string RenderStatus() const;
   void WaitUntilIdle();
 
   const NodeSettings m_settings;
   const Incarnation m_incarnation;
   FleetView m_view;
   IdSource m_ids;
+  std::unique_ptr<MetricsRegistry> m_metrics;
   ActiveCalls m_active_calls;
   PeerChannels m_channels;
   PeerRouter m_router;
   Callee m_callee;
   Caller m_caller;
   Entry m_entry;
+  StatusReport m_report;
   PeerService m_peer_service;
+  OperatorService m_operator_service;
   PlatformClient m_platform;
   HttpFront m_public_front;
   HttpFront m_local_front;
--- a/Source/node/peer_router.cc
+++ b/Source/node/peer_router.cc
@@ -27,6 +27,8 @@
   grpc::ClientContext context;
   v1::PingRequest request;
   v1::PingAnswer answer;
+  // When the answer came.
+  TimePoint ended_at;
   std::promise<bool> promise;
 };
 
@@ -34,6 +36,7 @@
   ping.context.set_deadline(std::chrono::system_clock::now() + kPingTimeout);
   stub.async()->Ping(&ping.context, &ping.request, &ping.answer,
                      [&ping](const grpc::Status& status) {
+                       ping.ended_at = BootClock::now();
                        ping.promise.set_value(status.ok());
                      });
 }
@@ -45,6 +48,7 @@
       m_view(parts.view),
       m_ids(parts.ids),
       m_channels(parts.channels),
+      m_metrics(parts.metrics),
       m_self(SelfMember(parts.settings)),
       m_monitor(ConnectionMonitor::Builder().Build()) {}
 
@@ -136,12 +140,17 @@
 void PeerRouter::Probe(const std::string& address) {
   Ping on_open;
   Ping on_new;
+  const std::string service = ServiceAt(address);
+  const TimePoint start = BootClock::now();
   const auto open_stub = m_channels.Get(address);
   const auto new_stub = m_channels.OpenSeparate(address);
   Send(*open_stub, on_open);
   Send(*new_stub, on_new);
   const bool open_answered = on_open.promise.get_future().get();
   const bool new_answered = on_new.promise.get_future().get();
+  std::optional<Duration> round_trip;
+  if (new_answered) round_trip = on_new.ended_at - start;
+  m_metrics.RecordProbe(m_settings.service, service, round_trip);
 
   std::optional<ConnectionAction> action;
   {
@@ -154,10 +163,22 @@
   Log(LogLevel::kWarning,
       is_silent ? "connection-replaced" : "peer-unreachable",
       {{"peer", address}});
-  if (is_silent) m_channels.Replace(address);
+  if (is_silent) {
+    m_metrics.RecordSilentConnection(m_settings.service, service);
+    m_channels.Replace(address);
+  }
   GiveUpAttempts(address);
 }
 
+std::string PeerRouter::ServiceAt(const std::string& address) {
+  const std::lock_guard lock(m_mutex);
+  for (const OutgoingAttempt* attempt : m_outgoing) {
+    const Member& member = attempt->choice.member;
+    if (member.peer_address == address) return member.service;
+  }
+  return "";
+}
+
 void PeerRouter::GiveUpAttempts(const std::string& address) {
   const std::lock_guard lock(m_mutex);
   for (OutgoingAttempt* attempt : m_outgoing) {
--- a/Source/node/peer_router.h
+++ b/Source/node/peer_router.h
@@ -13,6 +13,7 @@
 #include <string>
 #include <thread>
 
+#include "metrics/metrics.h"
 #include "node/call_answer.h"
 #include "node/fleet_view.h"
 #include "node/id_source.h"
@@ -39,6 +40,7 @@
     const FleetView& view;
     IdSource& ids;
     PeerChannels& channels;
+    MetricsRegistry& metrics;
   };
 
   explicit PeerRouter(const Parts& parts);
@@ -66,10 +68,14 @@
   void Run();
   void Probe(const std::string& address);
   void GiveUpAttempts(const std::string& address);
+  // Service of an attempt that waits for this peer; empty if there is none.
+  std::string ServiceAt(const std::string& address);
+
   const NodeSettings& m_settings;
   const FleetView& m_view;
   IdSource& m_ids;
   PeerChannels& m_channels;
+  MetricsRegistry& m_metrics;
   const Member m_self;
 
   RcuPointer<RoutingTable> m_table;
--- /dev/null
+++ b/Source/node/status_report.h
@@ -0,0 +1,78 @@
+#ifndef VANILLATILLER_SOURCE_NODE_STATUS_REPORT_H_
+#define VANILLATILLER_SOURCE_NODE_STATUS_REPORT_H_
+
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "base/base.h"
+#include "metrics/metrics.h"
+#include "node/callee.h"
+#include "node/entry.h"
+#include "node/fleet_view.h"
+#include "node/settings.h"
+
+namespace vanillatiller {
+
+// The configuration that a node has in force.
+struct ConfigStatus {
+  // 0 if none is.
+  uint64_t version = 0;
+  Sha256Digest digest{};
+  // Canonical text; null if none is in force.
+  std::shared_ptr<const std::string> text;
+  bool confirmed = false;
+  // Not empty if an equal version with another digest was seen.
+  std::string conflict;
+};
+
+// What a node tells its operators. Safe to use from several threads.
+class StatusReport {
+ public:
+  struct Parts {
+    const NodeSettings& settings;
+    const FleetView& view;
+    const Callee& callee;
+    const Entry& entry;
+    MetricsRegistry& metrics;
+    Incarnation incarnation;
+  };
+
+  explicit StatusReport(const Parts& parts);
+
+  // JSON of "summary", "members", "histograms" or "edges"; nullopt for
+  // another part. An empty part stands for "summary".
+  std::optional<std::string> Render(std::string_view part);
+
+  // Prometheus text.
+  std::string RenderMetrics();
+
+  ConfigStatus config_status();
+
+  // Calls of peers and requests of callers that are not answered yet.
+  uint32_t in_flight() const;
+
+ private:
+  std::string RenderSummary();
+  std::string RenderMembers() const;
+  // Brings what the registry does not learn from the request path up to date.
+  void RefreshMetrics();
+
+  const NodeSettings& m_settings;
+  const FleetView& m_view;
+  const Callee& m_callee;
+  const Entry& m_entry;
+  MetricsRegistry& m_metrics;
+  const Incarnation m_incarnation;
+
+  // Text and digest of m_config, which take milliseconds for a large value.
+  std::mutex m_mutex;
+  std::shared_ptr<const FleetConfig> m_config;
+  ConfigStatus m_config_status;
+};
+
+}  // namespace vanillatiller
+
+#endif  // VANILLATILLER_SOURCE_NODE_STATUS_REPORT_H_
--- a/Source/vtctl/command.cc
+++ b/Source/vtctl/command.cc
@@ -17,6 +17,21 @@
      "report every fault of NOTE, made on the value BASE", 2, false, NoteCheck},
     {"note apply", "BASE NOTE",
      "print the value that NOTE makes of the value BASE", 2, false, NoteApply},
+    {"status", "", "show the state of each node", 0, true, ShowStatus},
+    {"members", "",
+     "show the members that the nodes know, and where the nodes disagree", 0,
+     true, ShowMembers},
+    {"histogram", "",
+     "show latency, queue wait and added time by service, tenant and rank, "
+     "summed over the nodes",
+     0, true, ShowHistogram},
+    {"verify", "NOTE",
+     "wait until the nodes have NOTE in force; name those that differ, are "
+     "unreachable or unconfirmed",
+     1, true, VerifyNote},
+    {"drain", "NODE",
+     "start the planned stop of the node with the peer address NODE", 1, false,
+     DrainNode},
 });
 
 constexpr std::string_view kExitStatuses =
@@ -29,6 +44,12 @@
 
 constexpr std::string_view kFlags = R"(Flags:
   --json                  print JSON for scripts instead of tables
+  --nodes=IP:PORT,...     peer addresses of the nodes to ask
+  --timeout=2s            time that one node has to answer
+  --deadline=11s          how long "verify" waits for the nodes
+  --reason=TEXT           why "drain" stops the node; goes to the node's log
+  --ca=FILE --cert=FILE --key=FILE
+                          PEM files for mutual TLS; plaintext without them
   --help                  print this text
 )";
 
--- a/Source/vtctl/main.cc
+++ b/Source/vtctl/main.cc
@@ -6,9 +6,20 @@
 #include "absl/flags/flag.h"
 #include "absl/flags/parse.h"
 #include "absl/flags/usage.h"
+#include "absl/time/time.h"
 #include "vtctl/command.h"
+#include "vtctl/grpc_fleet_client.h"
 
 ABSL_FLAG(bool, json, false, "print JSON for scripts instead of tables");
+ABSL_FLAG(std::vector<std::string>, nodes, {}, "peer addresses of the nodes");
+ABSL_FLAG(absl::Duration, timeout, absl::Seconds(2),
+          "time that one node has to answer");
+ABSL_FLAG(absl::Duration, deadline, absl::Seconds(11),
+          "how long verify waits for the nodes");
+ABSL_FLAG(std::string, reason, "", "why drain stops the node");
+ABSL_FLAG(std::string, ca, "", "PEM file with the certificate authority");
+ABSL_FLAG(std::string, cert, "", "PEM file with the client certificate");
+ABSL_FLAG(std::string, key, "", "PEM file with the client key");
 
 namespace {
 
@@ -21,9 +32,21 @@
 vanillatiller::CommandOptions ReadOptions() {
   vanillatiller::CommandOptions options;
   options.json = absl::GetFlag(FLAGS_json);
+  options.nodes = absl::GetFlag(FLAGS_nodes);
+  options.deadline = absl::ToChronoNanoseconds(absl::GetFlag(FLAGS_deadline));
+  options.reason = absl::GetFlag(FLAGS_reason);
   return options;
 }
 
+vanillatiller::ClientSettings ReadClientSettings() {
+  vanillatiller::ClientSettings settings;
+  settings.timeout = absl::ToChronoNanoseconds(absl::GetFlag(FLAGS_timeout));
+  settings.ca_file = absl::GetFlag(FLAGS_ca);
+  settings.certificate_file = absl::GetFlag(FLAGS_cert);
+  settings.key_file = absl::GetFlag(FLAGS_key);
+  return settings;
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -35,6 +58,13 @@
   absl::SetProgramUsageMessage(vanillatiller::HelpText());
   const std::vector<char*> arguments = absl::ParseCommandLine(argc, argv);
   const std::vector<std::string> words(arguments.begin() + 1, arguments.end());
+  vanillatiller::Reason reason;
+  const auto client =
+      vanillatiller::MakeGrpcFleetClient(ReadClientSettings(), &reason);
+  if (!client) {
+    std::cerr << "vtctl: " << reason.text << '\n';
+    return static_cast<int>(vanillatiller::ExitStatus::kUnreachable);
+  }
   return static_cast<int>(vanillatiller::RunCommand(
-      words, ReadOptions(), nullptr, std::cout, std::cerr));
+      words, ReadOptions(), client.get(), std::cout, std::cerr));
 }
--- a/Tests/vtctl_test.cc
+++ b/Tests/vtctl_test.cc
@@ -1,5 +1,7 @@
 #define BOOST_TEST_MODULE vtctl
 #include <boost/test/unit_test.hpp>
+#include <fstream>
+#include <map>
 #include <nlohmann/json.hpp>
 #include <sstream>
 
@@ -110,5 +112,198 @@
              consortium.error);
 }
 
+// A fleet whose nodes answer what the test says; its clock moves only in
+// Sleep.
+class FakeFleet final : public FleetClient {
+ public:
+  struct FakeNode {
+    FleetConfig config;
+    bool confirmed = true;
+    std::string conflict;
+    std::string members = "[]";
+    std::string edges = "{}";
+    // Takes `next` in force at this time.
+    TimePoint switch_at = TimePoint::max();
+    FleetConfig next;
+  };
+
+  std::map<std::string, FakeNode> nodes;
+
+  std::optional<std::string> GetStatus(const std::string& node,
+                                       const std::string& part,
+                                       Reason* reason) override {
+    const FakeNode* fake = Find(node, reason);
+    if (fake == nullptr) return std::nullopt;
+    if (part == "members") return fake->members;
+    if (part == "edges") return fake->edges;
+    const FleetConfig& config = ConfigOf(*fake);
+    const nlohmann::json summary = {
+        {"vm", "vm-" + node},
+        {"config_version", config.version},
+        {"config_digest", ToHex(ConfigDigest(config))},
+        {"config_confirmed", fake->confirmed},
+        {"config_conflict", fake->conflict}};
+    return summary.dump();
+  }
+
+  std::optional<NodeConfig> GetConfig(const std::string& node,
+                                      Reason* reason) override {
+    const FakeNode* fake = Find(node, reason);
+    if (fake == nullptr) return std::nullopt;
+    const FleetConfig& config = ConfigOf(*fake);
+    return NodeConfig{config.version, ConfigDigest(config), fake->confirmed,
+                      FormatFleetConfig(config), fake->conflict};
+  }
+
+  std::optional<DrainResult> Drain(const std::string& node, const std::string&,
+                                   Reason* reason) override {
+    if (Find(node, reason) == nullptr) return std::nullopt;
+    return DrainResult{true, 4};
+  }
+
+  TimePoint Now() override { return m_now; }
+  void Sleep(Duration duration) override { m_now += duration; }
+
+ private:
+  const FakeNode* Find(const std::string& node, Reason* reason) const {
+    const auto found = nodes.find(node);
+    if (found != nodes.end()) return &found->second;
+    reason->text = "connection refused";
+    return nullptr;
+  }
+
+  const FleetConfig& ConfigOf(const FakeNode& node) const {
+    return m_now >= node.switch_at ? node.next : node.config;
+  }
+
+  TimePoint m_now{std::chrono::seconds(100)};
+};
+
+FleetConfig LoadFile(const std::string& path) {
+  std::ifstream file(path);
+  std::stringstream text;
+  text << file.rdbuf();
+  Findings findings;
+  return *LoadFleetConfig(text.str(), path, &findings);
+}
+
+// The value that the example note leads to.
+FleetConfig SecondBoard() {
+  std::ifstream file(kNote);
+  std::stringstream text;
+  text << file.rdbuf();
+  Findings findings;
+  return *ApplyNote(LoadFile(kBoard), *ParseNote(text.str(), kNote, &findings),
+                    kNote, &findings);
+}
+
+struct VerifyCase {
+  std::string_view name;
+  FakeFleet::FakeNode node;
+  // Empty for a node that is in force.
+  std::string_view expected;
+  ExitStatus status;
+};
+
+// Guards against a verification that passes while a node differs, is not
+// confirmed, is in conflict or gives no answer, or that does not name it.
+BOOST_AUTO_TEST_CASE(VerifyNamesEachNodeThatDiffers) {
+  const FleetConfig first = LoadFile(kBoard);
+  const FleetConfig second = SecondBoard();
+  FleetConfig newer = second;
+  newer.version = 3;
+  FleetConfig reverted = newer;
+  reverted.tenants.push_back({"partners", 1});
+  FleetConfig altered = second;
+  altered.tenants[0].weight = 77;
+  const TimePoint start{std::chrono::seconds(100)};
+  const VerifyCase cases[] = {
+      {"in force", {second}, "in-force", ExitStatus::kOk},
+      {"newer", {newer}, "newer", ExitStatus::kOk},
+      {"old",
+       {first},
+       "added tenant \"kiosk\" is missing",
+       ExitStatus::kFaults},
+      {"old, chain",
+       {first},
+       "changed chain \"chain\" has other fields",
+       ExitStatus::kFaults},
+      {"newer, item lost",
+       {reverted},
+       "withdrawn tenant \"partners\" is still there",
+       ExitStatus::kFaults},
+      {"same version, other value",
+       {altered},
+       "but the digest is",
+       ExitStatus::kFaults},
+      {"unconfirmed", {second, false}, "unconfirmed", ExitStatus::kFaults},
+      {"conflict",
+       {second, true, "two values"},
+       "two values",
+       ExitStatus::kFaults},
+      {"switches in time",
+       {first, true, "", "[]", "{}", start + std::chrono::seconds(9), second},
+       "in-force",
+       ExitStatus::kOk},
+      {"switches too late",
+       {first, true, "", "[]", "{}", start + std::chrono::seconds(12), second},
+       "differs",
+       ExitStatus::kFaults},
+  };
+  for (const VerifyCase& test : cases) {
+    FakeFleet fleet;
+    fleet.nodes["a"] = {second};
+    fleet.nodes["b"] = test.node;
+    CommandOptions options;
+    options.nodes = {"a", "b"};
+    const Run run = RunWords({"verify", kNote}, options, &fleet);
+    BOOST_TEST((run.status == test.status), test.name << run.out);
+    BOOST_TEST(run.out.find(test.expected) != std::string::npos,
+               test.name << run.out);
+  }
+  FakeFleet fleet;
+  fleet.nodes["a"] = {second};
+  CommandOptions options;
+  options.nodes = {"a", "gone"};
+  options.json = true;
+  const Run run = RunWords({"verify", kNote}, options, &fleet);
+  BOOST_TEST((run.status == ExitStatus::kUnreachable));
+  const auto json = nlohmann::json::parse(run.out);
+  BOOST_TEST(json["ok"] == false);
+  BOOST_TEST(json["nodes"][1]["state"] == "unreachable");
+  BOOST_TEST(json["nodes"][1]["details"][0] == "connection refused");
+}
+
+// Guards against nodes left out of a report without a word, and against views
+// that differ without notice.
+BOOST_AUTO_TEST_CASE(FleetCommands) {
+  FakeFleet fleet;
+  fleet.nodes["a"] = {LoadFile(kBoard)};
+  fleet.nodes["b"] = fleet.nodes["a"];
+  fleet.nodes["a"].members =
+      R"([{"vm":"v1","state":"live"},{"vm":"v2","state":"live"}])";
+  fleet.nodes["b"].members = R"([{"vm":"v1","state":"failed"}])";
+  CommandOptions options;
+  BOOST_TEST(
+      (RunWords({"status"}, options, &fleet).status == ExitStatus::kUsage));
+  options.nodes = {"a", "b", "gone"};
+  const Run status = RunWords({"status"}, options, &fleet);
+  BOOST_TEST((status.status == ExitStatus::kUnreachable));
+  BOOST_TEST(status.out.find("vm-b") != std::string::npos);
+  BOOST_TEST(status.error.find("gone: no answer: connection refused") !=
+             std::string::npos);
+  options.nodes = {"a", "b"};
+  const Run members = RunWords({"members"}, options, &fleet);
+  BOOST_TEST((members.status == ExitStatus::kFaults));
+  BOOST_TEST(members.out.find("failed (1), live (1)") != std::string::npos,
+             members.out);
+  BOOST_TEST(members.out.find("live (1), unknown (1)") != std::string::npos,
+             members.out);
+  BOOST_TEST(RunWords({"drain", "a"}, options, &fleet).out ==
+             "a: draining, 4 calls in flight\n");
+  BOOST_TEST((RunWords({"drain", "gone"}, options, &fleet).status ==
+              ExitStatus::kUnreachable));
+}
+
 }  // namespace
 }  // namespace vanillatiller
