--- a/Source/node/callee.cc
+++ b/Source/node/callee.cc
@@ -35,6 +35,7 @@
       m_ids(parts.ids),
       m_active_calls(parts.active_calls),
       m_incarnation(parts.incarnation),
+      m_metrics(parts.metrics),
       m_backend(parts.settings.backend, parts.settings.max_body_bytes),
       m_gate(parts.settings, parts.view, BootClock::now()),
       m_workers(parts.settings.max_http_threads) {}
@@ -59,6 +60,7 @@
       ++m_unanswered;
     }
   }
+  m_metrics.RecordOffer(reason.code == RefusalCode::kOverload);
   if (reason.code != RefusalCode::kNone) return Refuse(reason, pending->done);
   Admit(pending, now);
 }
@@ -112,14 +114,14 @@
   load.in_flight = state.in_flight;
   load.queued = state.queued;
   load.concurrency_limit = state.limit;
-  load.leaving = m_draining;
+  load.leaving = IsLeaving();
   load.incarnation = m_incarnation;
   return load;
 }
 
 Reason Callee::CheckAcceptable(const CallContext& context,
                                TimePoint now) const {
-  if (m_draining) return {RefusalCode::kLeaving, "node is leaving"};
+  if (IsLeaving()) return {RefusalCode::kLeaving, "node is leaving"};
   if (context.service != m_settings.service) {
     return {RefusalCode::kUnknownService,
             "this node serves \"" + m_settings.service + "\", not \"" +
