Node: Run calls at most once and bound retries over the chain

The thin path made one attempt for each call and reported lost answers as unknown. Calls now go through the ledger before dispatch, lost answers of non-idempotent calls are fenced, retries draw from the chain and edge budgets ([policy] retries), and non-idempotent requests of callers need a ticket, which any node forwards to its issuer. A call is only sent on a connected channel, so that a failed connection proves "not run"; retries of the RPC library are off, because a refusal proves it only if its call is delivered once. A dispatched non-idempotent call goes on when its caller is gone, so that its fence finds the answer. A copy of a running call is refused as unknown, no longer as not run.

--- a/Source/node/active_calls.cc
+++ b/Source/node/active_calls.cc
@@ -5,7 +5,9 @@
 namespace vanillatiller {
 
 ActiveCall::ActiveCall(CallContext context, std::string token)
-    : m_context(std::move(context)), m_token(std::move(token)) {}
+    : m_context(std::move(context)),
+      m_token(std::move(token)),
+      m_budget(ChainBudget::Create(m_context.extra_attempts)) {}
 
 void ActiveCall::RecordRefusal(DownstreamRefusal refusal) {
   const std::lock_guard lock(m_mutex);
--- a/Source/node/active_calls.h
+++ b/Source/node/active_calls.h
@@ -11,6 +11,7 @@
 #include "admission/admission_threshold.h"
 #include "base/base.h"
 #include "node/cancellation.h"
+#include "retry/retry.h"
 
 namespace vanillatiller {
 
@@ -30,6 +31,8 @@
   // What the backend server sends back to name this call.
   const std::string& token() const { return m_token; }
   Cancellation& cancellation() { return m_cancellation; }
+  // Extra attempts that the calls below this one draw from.
+  const std::shared_ptr<ChainBudget>& budget() const { return m_budget; }
 
   // Keeps the last refusal of a downstream call, so that the answer can name
   // the service that refused first.
@@ -53,6 +56,7 @@
  private:
   const CallContext m_context;
   const std::string m_token;
+  const std::shared_ptr<ChainBudget> m_budget;
   Cancellation m_cancellation;
   mutable std::mutex m_mutex;
   std::optional<DownstreamRefusal> m_last_refusal;
--- a/Source/node/callee.cc
+++ b/Source/node/callee.cc
@@ -37,6 +37,7 @@
       m_incarnation(parts.incarnation),
       m_backend(parts.settings.backend, parts.settings.max_body_bytes),
       m_gate(parts.settings, parts.view, BootClock::now()),
+      m_records(parts.incarnation),
       m_workers(parts.settings.max_http_threads) {}
 
 Callee::~Callee() { m_workers.Shutdown(); }
@@ -44,7 +45,10 @@
 void Callee::Handle(CallContext context, std::string body, Done done,
                     TimePoint now) {
   Reason reason = CheckAcceptable(context, now);
-  if (reason.code != RefusalCode::kNone) return Refuse(reason, done);
+  const uint32_t unspent = context.extra_attempts;
+  if (reason.code != RefusalCode::kNone) {
+    return Refuse(Outcome::kNotRun, reason, unspent, done);
+  }
 
   auto pending = std::make_shared<PendingCall>();
   pending->context = std::move(context);
@@ -59,7 +63,9 @@
       ++m_unanswered;
     }
   }
-  if (reason.code != RefusalCode::kNone) return Refuse(reason, pending->done);
+  if (reason.code != RefusalCode::kNone) {
+    return Refuse(Outcome::kUnknown, reason, unspent, pending->done);
+  }
   Admit(pending, now);
 }
 
@@ -80,10 +86,17 @@
 void Callee::EndRefused(PendingCall& pending, const struct Refuse& refuse) {
   CallAnswer answer = NotRun(refuse.code, RefusalText(refuse.code));
   answer.attempts = 1;
+  answer.unspent_attempts = pending.context.extra_attempts;
   answer.queue_wait = refuse.queue_wait;
   Finish(pending, std::move(answer));
 }
 
+void Callee::Fence(const v1::FenceRequest& request, TimePoint now,
+                   v1::FenceAnswer* response) {
+  m_records.Fence(request, now, response);
+  ToWire(load(), response->mutable_answer()->mutable_load());
+}
+
 void Callee::Cancel(const CallId& call, TimePoint now) {
   std::shared_ptr<ActiveCall> active;
   WorkId work = 0;
@@ -91,6 +104,9 @@
     const std::lock_guard lock(m_mutex);
     const auto found = m_pending.find(call);
     if (found == m_pending.end()) return;
+    if (found->second->is_recorded && !found->second->context.idempotent) {
+      return;
+    }
     found->second->is_cancelled = true;
     active = found->second->active;
     work = found->second->work;
@@ -114,6 +130,7 @@
   load.concurrency_limit = state.limit;
   load.leaving = m_draining;
   load.incarnation = m_incarnation;
+  load.clock = BootClock::now();
   return load;
 }
 
@@ -136,8 +153,12 @@
   return {};
 }
 
-void Callee::Refuse(Reason reason, const Done& done) const {
-  CallAnswer answer = NotRun(reason.code, std::move(reason.text));
+void Callee::Refuse(Outcome outcome, Reason reason, uint32_t unspent_attempts,
+                    const Done& done) const {
+  CallAnswer answer;
+  answer.outcome = outcome;
+  answer.reason = std::move(reason);
+  answer.unspent_attempts = unspent_attempts;
   answer.refused_by = m_settings.service;
   answer.load = load();
   answer.attempts = 1;
@@ -150,12 +171,32 @@
   Finish(*pending, std::move(answer));
 }
 
-CallAnswer Callee::Execute(PendingCall& pending) {
-  const TimePoint now = BootClock::now();
+std::optional<CallAnswer> Callee::CheckBeforeDispatch(PendingCall& pending,
+                                                      TimePoint now) {
   if (pending.context.deadline <= now) {
     return NotRun(RefusalCode::kDeadlineExceeded,
                   "deadline passed before dispatch");
   }
+  const std::lock_guard lock(m_mutex);
+  if (pending.is_cancelled) {
+    return NotRun(RefusalCode::kCancelled, "cancelled before dispatch");
+  }
+  const BeginResult result = m_records.Begin(pending.context, now);
+  pending.is_recorded = result == BeginResult::kRun;
+  if (pending.is_recorded) return std::nullopt;
+  CallAnswer answer;
+  answer.outcome = BeginOutcome(result);
+  answer.reason = {BeginRefusal(result), "refused by the execution records"};
+  return answer;
+}
+
+CallAnswer Callee::Execute(PendingCall& pending) {
+  const TimePoint now = BootClock::now();
+  if (auto refusal = CheckBeforeDispatch(pending, now)) {
+    refusal->attempts = 1;
+    refusal->unspent_attempts = pending.context.extra_attempts;
+    return std::move(*refusal);
+  }
   const auto active =
       m_active_calls.Add(pending.context, m_ids.NextCall().ToString());
   {
@@ -168,6 +209,7 @@
   answer.queue_wait = now - pending.received_at;
   answer.backend_time = BootClock::now() - now;
   answer.attempts = 1 + active->attempts_below();
+  answer.unspent_attempts = active->budget()->Close();
   if (const auto refusal = active->last_refusal()) {
     answer.reason = refusal->reason;
     answer.refused_by = refusal->refused_by;
@@ -206,6 +248,8 @@
         threshold, pending.active->downstream_threshold());
   }
   answer.load.threshold = threshold.Packed();
+  // Before the answer leaves, so that a fence after its loss finds it.
+  if (pending.is_recorded) m_records.Complete(pending.context.call, answer);
   pending.done(std::move(answer));
   const std::lock_guard lock(m_mutex);
   --m_unanswered;
--- a/Source/node/callee.h
+++ b/Source/node/callee.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -14,6 +15,7 @@
 #include "node/admission_gate.h"
 #include "node/backend_client.h"
 #include "node/call_answer.h"
+#include "node/call_records.h"
 #include "node/fleet_view.h"
 #include "node/id_source.h"
 #include "node/settings.h"
@@ -41,7 +43,13 @@
   // Takes one attempt. `done` is called exactly once, on any thread.
   void Handle(CallContext context, std::string body, Done done, TimePoint now);
 
-  // Stops the work of an attempt that nobody waits for any more.
+  // Settles the fate of an attempt whose answer was lost.
+  void Fence(const v1::FenceRequest& request, TimePoint now,
+             v1::FenceAnswer* response);
+
+  // Stops the work of an attempt that nobody waits for any more. A
+  // non-idempotent call that was dispatched goes on, so that its answer can be
+  // fetched by a fence.
   void Cancel(const CallId& call, TimePoint now);
 
   // Refuses new calls as not run from now on.
@@ -55,6 +63,7 @@
   void OnTick(TimePoint now) { m_gate.OnTick(now); }
 
   LoadReport load() const;
+  Incarnation incarnation() const { return m_incarnation; }
   AdmissionState admission_state() const { return m_gate.State(); }
 
  private:
@@ -66,15 +75,21 @@
     WorkId work = 0;
     std::shared_ptr<ActiveCall> active;
     bool is_cancelled = false;
+    // True if the call is in m_records and its answer must be kept.
+    bool is_recorded = false;
   };
 
   // Why a call cannot be taken at all; code kNone if it can.
   Reason CheckAcceptable(const CallContext& context, TimePoint now) const;
-  void Refuse(Reason reason, const Done& done) const;
+  void Refuse(Outcome outcome, Reason reason, uint32_t unspent_attempts,
+              const Done& done) const;
   // Has the gate decide over a call that was entered in m_pending.
   void Admit(const std::shared_ptr<PendingCall>& pending, TimePoint now);
   void EndRefused(PendingCall& pending, const struct Refuse& refuse);
   void Run(const std::shared_ptr<PendingCall>& pending);
+  // Last checks before the dispatch; nullopt if the call may run.
+  std::optional<CallAnswer> CheckBeforeDispatch(PendingCall& pending,
+                                                TimePoint now);
   CallAnswer Execute(PendingCall& pending);
   // Tells the gate how a dispatched call ended.
   void ReportResult(const PendingCall& pending, const CallAnswer& answer);
@@ -89,6 +104,7 @@
   std::atomic<bool> m_draining{false};
   std::atomic<bool> m_is_backend_unreachable{false};
   AdmissionGate m_gate;
+  CallRecords m_records;
 
   mutable std::mutex m_mutex;
   std::condition_variable m_idle;
--- a/Source/node/caller.cc
+++ b/Source/node/caller.cc
@@ -1,12 +1,18 @@
 #include "node/caller.h"
 
+#include <algorithm>
 #include <future>
+#include <thread>
 #include <utility>
-#include <vector>
 
 namespace vanillatiller {
 namespace {
 
+constexpr std::chrono::milliseconds kConnectTimeout{1000};
+constexpr std::chrono::milliseconds kFenceTimeout{250};
+constexpr std::chrono::milliseconds kFirstFenceDelay{10};
+constexpr std::chrono::milliseconds kMaxFenceDelay{160};
+
 std::chrono::system_clock::time_point GrpcDeadline(Duration left) {
   return std::chrono::system_clock::now() +
          std::chrono::duration_cast<std::chrono::system_clock::duration>(left);
@@ -27,6 +33,23 @@
   return UnknownOutcome(RefusalCode::kConnectionLost, text);
 }
 
+RetrySettings MakeRetrySettings(const NodeSettings& settings) {
+  RetrySettings result;
+  if (settings.retries == RetryPolicyKind::kPlain) {
+    result.mode = RetryMode::kPlain;
+  }
+  return result;
+}
+
+bool MayHaveRun(FailureKind kind) {
+  return kind == FailureKind::kAnswerLost ||
+         kind == FailureKind::kBackendLost || kind == FailureKind::kUnknown;
+}
+
+bool IsComplete(const CallAnswer& answer) {
+  return answer.outcome == Outcome::kComplete;
+}
+
 }  // namespace
 
 Caller::Caller(const Parts& parts)
@@ -34,74 +57,281 @@
       m_ids(parts.ids),
       m_channels(parts.channels),
       m_router(parts.router),
-      m_callee(parts.callee) {}
+      m_callee(parts.callee),
+      m_policy(MakeRetrySettings(parts.settings)) {}
 
-CallAnswer Caller::Call(CallContext context, const std::string& body,
-                        Cancellation& cancellation, TimePoint now) {
+CallAnswer Caller::Call(const OutgoingCall& call, Cancellation& cancellation,
+                        TimePoint now) {
+  if (call.context.deadline <= now) {
+    return NotRun(RefusalCode::kDeadlineExceeded, "deadline has passed");
+  }
   Reason reason;
-  const std::optional<PeerChoice> choice =
-      m_router.Pick(context, body.size(), {}, now, &reason);
+  std::optional<PeerChoice> choice =
+      m_router.Pick(call.context, call.body.size(), {}, now, &reason);
   if (!choice) return NotRun(reason.code, reason.text);
-  context.call = m_ids.NextCall();
-  context.callee_incarnation = choice->member.incarnation;
-  return Attempt(*choice, context, body, cancellation, now);
+  Attempt attempt;
+  attempt.choice = std::move(*choice);
+  Progress progress = {.share = call.budget->TakeFirst(call.callee)};
+  progress.retry.idempotent = call.context.idempotent;
+  progress.retry.known_context = call.known_context;
+  progress.retry.deadline = call.context.deadline;
+  while (true) {
+    MakeAttempt(call, cancellation, progress, attempt);
+    const RetryDecision decision = DecideNext(cancellation, progress, attempt);
+    if (IsComplete(attempt.answer)) {
+      m_edges.Get(call.context.service, now).RecordSuccess(BootClock::now());
+      break;
+    }
+    const bool is_retried =
+        decision.action == RetryAction::kRetryElsewhere &&
+        PrepareRetry(call, decision, cancellation, progress, attempt);
+    if (is_retried) continue;
+    attempt.answer.outcome = decision.outcome;
+    break;
+  }
+  attempt.answer.attempts = progress.attempts;
+  return std::move(attempt.answer);
 }
 
-CallAnswer Caller::Attempt(const PeerChoice& choice, const CallContext& context,
-                           const std::string& body, Cancellation& cancellation,
-                           TimePoint now) {
-  if (choice.member.vm == m_settings.vm) {
-    choice.state->OnSent();
-    CallAnswer answer = AttemptLocal(context, body, cancellation, now);
-    PeerRouter::Learn(*choice.state, answer, BootClock::now());
-    return answer;
+void Caller::MakeAttempt(const OutgoingCall& call, Cancellation& cancellation,
+                         Progress& progress, Attempt& attempt) {
+  attempt.context = call.context;
+  attempt.context.call = m_ids.NextCall();
+  attempt.context.callee_incarnation = attempt.choice.member.incarnation;
+  attempt.context.extra_attempts = progress.share.Count();
+  progress.tried.push_back(attempt.choice.member.vm);
+  if (attempt.choice.member.vm == m_settings.vm) {
+    AttemptLocal(call.body, cancellation, attempt);
+  } else {
+    AttemptRemote(call.body, cancellation, attempt);
   }
-  return AttemptRemote(choice, context, body, cancellation, now);
 }
 
-CallAnswer Caller::AttemptLocal(const CallContext& context,
-                                const std::string& body,
-                                Cancellation& cancellation, TimePoint now) {
+RetryDecision Caller::DecideNext(Cancellation& cancellation, Progress& progress,
+                                 Attempt& attempt) {
+  const auto draw = [this] {
+    return static_cast<double>(m_ids.NextWord() >> 11) * 0x1.0p-53;
+  };
+  RetryDecision decision;
+  while (!IsComplete(attempt.answer)) {
+    const std::string& refused_by = attempt.answer.refused_by;
+    const bool is_adjacent =
+        refused_by.empty() || refused_by == attempt.context.service;
+    decision = m_policy.Decide({attempt.failure, is_adjacent}, progress.retry,
+                               BootClock::now(), draw);
+    if (decision.action != RetryAction::kFenceFirst) break;
+    Fence(cancellation, attempt);
+  }
+  if (attempt.failure == FailureKind::kNeverRuns &&
+      !IsComplete(attempt.answer)) {
+    progress.share.SettleNotRun();
+  } else {
+    progress.share.Settle(attempt.answer.unspent_attempts);
+  }
+  progress.attempts += std::max(attempt.answer.attempts, 1U);
+  return decision;
+}
+
+bool Caller::PrepareRetry(const OutgoingCall& call,
+                          const RetryDecision& decision,
+                          Cancellation& cancellation, Progress& progress,
+                          Attempt& attempt) {
+  std::this_thread::sleep_for(decision.delay);
+  const TimePoint now = BootClock::now();
+  if (cancellation.IsCancelled() || now >= call.context.deadline) return false;
+  Reason reason;
+  std::optional<PeerChoice> choice = m_router.Pick(
+      call.context, call.body.size(), progress.tried, now, &reason);
+  // With the plain policy the same server is as good as another one.
+  const bool is_plain = m_policy.Settings().mode == RetryMode::kPlain;
+  if (!choice && is_plain) {
+    choice = m_router.Pick(call.context, call.body.size(), {}, now, &reason);
+  }
+  if (!choice) return false;
+  EdgeBudget& edge = m_edges.Get(call.context.service, now);
+  std::optional<AttemptShare> share =
+      m_policy.TakeRetry(*call.budget, edge, call.callee, now);
+  if (!share) {
+    attempt.answer.reason.text += "; no extra attempt is left";
+    return false;
+  }
+  progress.share = std::move(*share);
+  ++progress.retry.attempts;
+  if (MayHaveRun(attempt.failure)) progress.retry.may_have_run = true;
+  attempt.choice = std::move(*choice);
+  return true;
+}
+
+void Caller::AttemptLocal(const std::string& body, Cancellation& cancellation,
+                          Attempt& attempt) {
+  const TimePoint now = BootClock::now();
+  attempt.context.callee_incarnation = m_callee.incarnation();
+  attempt.context.not_after = attempt.context.deadline;
+  attempt.choice.state->OnSent();
   std::promise<CallAnswer> promise;
   m_callee.Handle(
-      context, body,
+      attempt.context, body,
       [&promise](CallAnswer answer) { promise.set_value(std::move(answer)); },
       now);
   const uint64_t key = cancellation.Add(
-      [this, call = context.call, now] { m_callee.Cancel(call, now); });
-  CallAnswer answer = promise.get_future().get();
+      [this, call = attempt.context.call, now] { m_callee.Cancel(call, now); });
+  attempt.answer = promise.get_future().get();
   cancellation.Remove(key);
-  return answer;
+  attempt.failure =
+      ClassifyAnswer(attempt.answer.outcome, attempt.answer.reason.code);
+  PeerRouter::Learn(*attempt.choice.state, attempt.answer, BootClock::now());
 }
 
-CallAnswer Caller::AttemptRemote(const PeerChoice& choice,
-                                 const CallContext& context,
-                                 const std::string& body,
-                                 Cancellation& cancellation, TimePoint now) {
-  v1::CallRequest request;
-  ToWire(context, now, request.mutable_context());
-  request.set_body(body);
-  request.set_body_hash(HashBytes(body));
+void Caller::AttemptRemote(const std::string& body, Cancellation& cancellation,
+                           Attempt& attempt) {
+  const std::string& address = attempt.choice.member.peer_address;
+  OutgoingAttempt outgoing;
+  outgoing.choice = attempt.choice;
+  m_router.Begin(outgoing, BootClock::now());
+  const Duration left = attempt.context.deadline - BootClock::now();
+  bool is_answered = true;
+  if (!m_channels.WaitUntilConnected(
+          address, std::min<Duration>(left, kConnectTimeout)) ||
+      !StampClock(address, &attempt.context)) {
+    attempt.answer = NotRun(RefusalCode::kConnectionLost,
+                            "no connection to the peer; nothing was sent");
+    attempt.answer.unspent_attempts = attempt.context.extra_attempts;
+  } else {
+    const TimePoint now = BootClock::now();
+    v1::CallRequest request;
+    ToWire(attempt.context, now, request.mutable_context());
+    request.set_body(body);
+    request.set_body_hash(HashBytes(body));
+    is_answered = Exchange(request, cancellation, outgoing,
+                           attempt.context.call, &attempt.answer);
+  }
+  attempt.failure = is_answered ? ClassifyAnswer(attempt.answer.outcome,
+                                                 attempt.answer.reason.code)
+                                : FailureKind::kAnswerLost;
+  const TimePoint now = BootClock::now();
+  m_clocks.Observe(address, attempt.answer.load, now);
+  m_router.End(outgoing, attempt.answer, now);
+}
 
-  OutgoingAttempt attempt;
-  attempt.choice = choice;
-  attempt.context.set_deadline(GrpcDeadline(context.deadline - now));
-  const auto stub = m_channels.Get(choice.member.peer_address);
+bool Caller::Exchange(const v1::CallRequest& request,
+                      Cancellation& cancellation, OutgoingAttempt& outgoing,
+                      const CallId& call, CallAnswer* answer) {
+  const auto time_left =
+      std::chrono::microseconds(request.context().time_left_us());
+  outgoing.context.set_deadline(GrpcDeadline(time_left));
+  const auto stub = m_channels.Get(outgoing.choice.member.peer_address);
   v1::CallAnswer response;
   std::promise<grpc::Status> promise;
-  m_router.Begin(attempt, now);
-  stub->async()->Call(&attempt.context, &request, &response,
+  stub->async()->Call(&outgoing.context, &request, &response,
                       [&promise](grpc::Status status) {
                         promise.set_value(std::move(status));
                       });
   const uint64_t key =
-      cancellation.Add([&attempt] { attempt.context.TryCancel(); });
+      cancellation.Add([&outgoing] { outgoing.context.TryCancel(); });
   const grpc::Status status = promise.get_future().get();
   cancellation.Remove(key);
-  CallAnswer answer = status.ok() ? FromWire(response.answer(), context.call)
-                                  : FromStatus(status, attempt.is_lost);
-  m_router.End(attempt, answer, BootClock::now());
-  return answer;
+  if (!status.ok()) {
+    *answer = FromStatus(status, outgoing.is_lost);
+    return false;
+  }
+  *answer = FromWire(response.answer(), call);
+  const bool is_whole = answer->load.incarnation != 0;
+  return is_whole;
+}
+
+CallAnswer Caller::Forward(const std::string& issuer, const std::string& ticket,
+                           const CallContext& context, const std::string& body,
+                           TimePoint now) {
+  v1::CallRequest request;
+  CallContext forwarded = context;
+  forwarded.call = m_ids.NextCall();
+  ToWire(forwarded, now, request.mutable_context());
+  request.set_body(body);
+  request.set_body_hash(HashBytes(body));
+  request.set_ticket(ticket);
+  grpc::ClientContext client;
+  client.set_deadline(GrpcDeadline(context.deadline - now + kFenceGrace));
+  v1::CallAnswer response;
+  const grpc::Status status =
+      m_channels.Get(issuer)->Call(&client, request, &response);
+  if (!status.ok()) return FromStatus(status, false);
+  return FromWire(response.answer(), forwarded.call);
+}
+
+void Caller::Fence(Cancellation& cancellation, Attempt& attempt) {
+  const std::string& address = attempt.choice.member.peer_address;
+  v1::FenceRequest request;
+  request.set_call_high(attempt.context.call.high);
+  request.set_call_low(attempt.context.call.low);
+  request.set_callee_incarnation(attempt.context.callee_incarnation);
+  request.set_not_after_us(
+      ToMicroseconds(attempt.context.not_after.time_since_epoch()));
+  const TimePoint until = attempt.context.deadline + kFenceGrace;
+  std::chrono::milliseconds delay = kFirstFenceDelay;
+  auto stub = m_channels.Get(address);
+  TimePoint now = BootClock::now();
+  while (now < until && !cancellation.IsCancelled()) {
+    v1::FenceAnswer response;
+    const Duration timeout = std::min<Duration>(until - now, kFenceTimeout);
+    const grpc::Status status =
+        SendFence(*stub, address, request, timeout, &response);
+    if (status.ok() && ApplyFence(response, attempt)) return;
+    // The open connection may be silent.
+    if (status.error_code() == grpc::StatusCode::DEADLINE_EXCEEDED) {
+      stub = m_channels.OpenSeparate(address);
+    }
+    std::this_thread::sleep_for(delay);
+    delay = std::min(delay * 2, kMaxFenceDelay);
+    now = BootClock::now();
+  }
+  attempt.failure = FailureKind::kUnknown;
+}
+
+bool Caller::ApplyFence(const v1::FenceAnswer& response, Attempt& attempt) {
+  switch (response.state()) {
+    case v1::FenceAnswer::STATE_ANSWERED:
+      attempt.answer = FromWire(response.answer(), attempt.context.call);
+      attempt.failure =
+          ClassifyAnswer(attempt.answer.outcome, attempt.answer.reason.code);
+      return true;
+    case v1::FenceAnswer::STATE_NEVER_RUNS:
+      attempt.answer =
+          NotRun(RefusalCode::kFenced,
+                 "the answer was lost and the call was stopped before it ran");
+      attempt.failure = FailureKind::kNeverRuns;
+      return true;
+    case v1::FenceAnswer::STATE_RUNNING:
+      return false;
+    default:
+      attempt.failure = FailureKind::kUnknown;
+      return true;
+  }
+}
+
+bool Caller::StampClock(const std::string& address, CallContext* context) {
+  if (m_clocks.Stamp(address, context)) return true;
+  const Duration left = context->deadline - BootClock::now();
+  v1::FenceAnswer response;
+  const grpc::Status status =
+      SendFence(*m_channels.Get(address), address, {},
+                std::min<Duration>(left, kFenceTimeout), &response);
+  if (status.ok() && m_clocks.Stamp(address, context)) return true;
+  // An idempotent call needs no fence, so it does without the clock.
+  context->callee_incarnation = 0;
+  return context->idempotent;
+}
+
+grpc::Status Caller::SendFence(v1::Peer::Stub& stub, const std::string& address,
+                               const v1::FenceRequest& request,
+                               Duration timeout, v1::FenceAnswer* response) {
+  grpc::ClientContext client;
+  client.set_deadline(GrpcDeadline(timeout));
+  const grpc::Status status = stub.Fence(&client, request, response);
+  if (status.ok()) {
+    m_clocks.Observe(address, FromWire(response->answer().load()),
+                     BootClock::now());
+  }
+  return status;
 }
 
 }  // namespace vanillatiller
--- a/Source/node/entry.cc
+++ b/Source/node/entry.cc
@@ -28,12 +28,16 @@
       m_view(parts.view),
       m_ids(parts.ids),
       m_active_calls(parts.active_calls),
-      m_caller(parts.caller) {}
+      m_caller(parts.caller),
+      m_tickets(parts.settings.peer_listener.ToString(), parts.incarnation) {}
 
 CallAnswer Entry::Handle(EntryRequest request, TimePoint now) {
-  static constexpr std::array<Filter, 6> kFilters = {
-      &Entry::CheckDraining, &Entry::Identify,       &Entry::InheritFromParent,
-      &Entry::SetDeadline,   &Entry::CheckThreshold, &Entry::MakeCall,
+  // The filters after CheckTicket refuse in the name of the issuer, so that
+  // "not run" holds for every copy of the request.
+  static constexpr std::array<Filter, 7> kFilters = {
+      &Entry::Identify,    &Entry::InheritFromParent, &Entry::SetDeadline,
+      &Entry::CheckTicket, &Entry::CheckDraining,     &Entry::CheckThreshold,
+      &Entry::MakeCall,
   };
   const bool is_outside = !request.is_local;
   if (is_outside) ++m_in_flight;
@@ -42,6 +46,7 @@
   for (const Filter filter : kFilters) {
     if ((this->*filter)(exchange, now) == Step::kAnswered) break;
   }
+  FinishTicket(exchange);
   if (is_outside) --m_in_flight;
   return std::move(exchange.answer);
 }
@@ -54,6 +59,12 @@
 
 Entry::Step Entry::Identify(Exchange& exchange, TimePoint /*now*/) {
   exchange.config = m_view.config();
+  if (!exchange.config && !exchange.request.ticket.empty()) {
+    // An earlier copy of the request may have run under the ticket.
+    exchange.answer = UnknownOutcome(RefusalCode::kNoConfiguration,
+                                     "no configuration is in force yet");
+    return Step::kAnswered;
+  }
   if (!exchange.config) {
     return Refuse(exchange, RefusalCode::kNoConfiguration,
                   "no configuration is in force yet");
@@ -111,7 +122,6 @@
   context.tenant = parent.tenant;
   context.rank = parent.rank;
   context.depth = parent.depth + 1;
-  context.extra_attempts = parent.extra_attempts;
   return Step::kNext;
 }
 
@@ -122,6 +132,10 @@
     context.deadline =
         std::min(context.deadline, exchange.parent->context().deadline);
   }
+  if (exchange.request.forwarded_deadline) {
+    context.deadline =
+        std::min(context.deadline, *exchange.request.forwarded_deadline);
+  }
   const std::string& text = exchange.request.timeout_ms;
   if (!text.empty()) {
     const auto timeout = ParseTimeout(text);
@@ -131,11 +145,73 @@
     }
     context.deadline = std::min(context.deadline, now + *timeout);
   }
-  if (context.deadline > now) return Step::kNext;
+  // The issuer of a ticket checks again whether the request ran before.
+  if (context.deadline > now || exchange.request.forwarded_deadline) {
+    return Step::kNext;
+  }
   return Refuse(exchange, RefusalCode::kDeadlineExceeded,
                 "deadline of the calling request has passed");
 }
 
+Entry::Step Entry::CheckTicket(Exchange& exchange, TimePoint now) {
+  const EntryRequest& request = exchange.request;
+  const CallContext& context = exchange.context;
+  if (request.is_local || context.idempotent) return Step::kNext;
+  if (request.ticket.empty()) {
+    if (m_draining) return Step::kNext;
+    return Refuse(exchange, RefusalCode::kTicketRequired,
+                  "the method is not idempotent: repeat the request with the "
+                  "ticket of this response");
+  }
+  Reason reason;
+  const std::optional<Ticket> ticket = ReadTicket(request.ticket, &reason);
+  if (!ticket) return Refuse(exchange, reason.code, reason.text);
+  if (!m_tickets.IsIssuer(*ticket)) return Forward(exchange, *ticket, now);
+  TicketGate::Entrance entrance =
+      m_tickets.Enter(request.ticket,
+                      RequestDigest(context.service, context.method,
+                                    context.tenant, request.body),
+                      context.deadline, now);
+  exchange.ticket_sequence = entrance.sequence;
+  if (entrance.sequence) return Step::kNext;
+  exchange.answer = std::move(entrance.answer);
+  return Step::kAnswered;
+}
+
+Entry::Step Entry::Forward(Exchange& exchange, const Ticket& ticket,
+                           TimePoint now) {
+  const EntryRequest& request = exchange.request;
+  // The ticket is not authenticated here, so it must not name an address that
+  // is no peer, and a request is forwarded once only.
+  if (request.forwarded_deadline || !IsPeer(ticket.issuer)) {
+    exchange.answer = UnknownOutcome(RefusalCode::kUnknownIncarnation,
+                                     "the issuer of the ticket is gone");
+    return Step::kAnswered;
+  }
+  exchange.answer = m_caller.Forward(ticket.issuer, request.ticket,
+                                     exchange.context, request.body, now);
+  return Step::kAnswered;
+}
+
+bool Entry::IsPeer(const std::string& address) const {
+  const auto members = m_view.members();
+  if (!members) return false;
+  return std::any_of(
+      members->begin(), members->end(),
+      [&](const Member& member) { return member.peer_address == address; });
+}
+
+void Entry::FinishTicket(Exchange& exchange) {
+  if (exchange.ticket_sequence) {
+    m_tickets.Complete(*exchange.ticket_sequence, exchange.answer);
+  }
+  const EntryRequest& request = exchange.request;
+  const bool wants_ticket = !request.is_local && !request.forwarded_deadline;
+  if (wants_ticket && !m_draining) {
+    exchange.answer.ticket = m_tickets.Issue(BootClock::now());
+  }
+}
+
 // Work that a service below would refuse is refused before anything is spent
 // on it. Calls of backend servers go on: work was spent on their requests.
 Entry::Step Entry::CheckThreshold(Exchange& exchange, TimePoint now) {
@@ -155,8 +231,14 @@
   Cancellation& cancellation =
       exchange.parent ? exchange.parent->cancellation() : own_cancellation;
   if (exchange.parent) exchange.parent->BeginDownstream(now);
-  exchange.answer =
-      m_caller.Call(exchange.context, exchange.request.body, cancellation, now);
+  OutgoingCall call{exchange.context, exchange.request.body};
+  call.known_context = !exchange.request.is_local || exchange.parent;
+  call.callee = exchange.method->calls.empty() ? Downstream::kLeaf
+                                               : Downstream::kCallsFurther;
+  call.budget = exchange.parent
+                    ? exchange.parent->budget()
+                    : ChainBudget::Create(exchange.context.extra_attempts);
+  exchange.answer = m_caller.Call(call, cancellation, now);
   const TimePoint answered = BootClock::now();
   const LoadReport& load = exchange.answer.load;
   const bool has_load = load.incarnation != 0;
--- a/Source/node/entry.h
+++ b/Source/node/entry.h
@@ -14,6 +14,7 @@
 #include "node/id_source.h"
 #include "node/settings.h"
 #include "node/threshold_guard.h"
+#include "node/ticket_gate.h"
 
 namespace vanillatiller {
 
@@ -30,6 +31,8 @@
   std::string timeout_ms;
   // True on the local listener, where the backend server calls.
   bool is_local = false;
+  // Set if another node forwarded the request to the issuer of its ticket.
+  std::optional<TimePoint> forwarded_deadline;
 };
 
 // Takes requests of callers and downstream calls of the local backend server
@@ -42,6 +45,7 @@
     IdSource& ids;
     ActiveCalls& active_calls;
     Caller& caller;
+    Incarnation incarnation;
   };
 
   explicit Entry(const Parts& parts);
@@ -66,18 +70,28 @@
     std::shared_ptr<ActiveCall> parent;
     CallContext context;
     CallAnswer answer;
+    // Set while the request uses a ticket of this node.
+    std::optional<uint64_t> ticket_sequence;
   };
 
   enum class Step { kNext, kAnswered };
   using Filter = Step (Entry::*)(Exchange&, TimePoint now);
 
-  Step CheckDraining(Exchange& exchange, TimePoint now);
   Step Identify(Exchange& exchange, TimePoint now);
   Step InheritFromParent(Exchange& exchange, TimePoint now);
   Step SetDeadline(Exchange& exchange, TimePoint now);
+  // Lets a non-idempotent request of a caller run only under a ticket and only
+  // at the issuer; forwards it there.
+  Step CheckTicket(Exchange& exchange, TimePoint now);
+  Step CheckDraining(Exchange& exchange, TimePoint now);
   Step CheckThreshold(Exchange& exchange, TimePoint now);
   Step MakeCall(Exchange& exchange, TimePoint now);
 
+  Step Forward(Exchange& exchange, const Ticket& ticket, TimePoint now);
+  bool IsPeer(const std::string& address) const;
+  // Keeps the answer for repeats and gives the caller a fresh ticket.
+  void FinishTicket(Exchange& exchange);
+
   static Step Refuse(Exchange& exchange, RefusalCode code, std::string text);
 
   const NodeSettings& m_settings;
@@ -85,6 +99,7 @@
   IdSource& m_ids;
   ActiveCalls& m_active_calls;
   Caller& m_caller;
+  TicketGate m_tickets;
   ThresholdGuard m_thresholds;
   std::atomic<bool> m_draining{false};
   std::atomic<uint32_t> m_in_flight{0};
--- a/Source/node/node.cc
+++ b/Source/node/node.cc
@@ -31,8 +31,9 @@
       m_router({m_settings, m_view, m_ids, m_channels}),
       m_callee({m_settings, m_view, m_ids, m_active_calls, m_incarnation}),
       m_caller({m_settings, m_view, m_ids, m_channels, m_router, m_callee}),
-      m_entry({m_settings, m_view, m_ids, m_active_calls, m_caller}),
-      m_peer_service(m_settings, m_callee),
+      m_entry(
+          {m_settings, m_view, m_ids, m_active_calls, m_caller, m_incarnation}),
+      m_peer_service(m_settings, m_callee, m_entry),
       m_platform(m_settings, m_view),
       m_public_front(m_settings.public_listener, m_settings),
       m_local_front(m_settings.local_listener, m_settings),
--- a/Source/node/peer_channels.cc
+++ b/Source/node/peer_channels.cc
@@ -17,32 +17,62 @@
 
 std::shared_ptr<v1::Peer::Stub> PeerChannels::Get(const std::string& address) {
   const std::lock_guard lock(m_mutex);
-  auto& stub = m_stubs[address];
-  if (!stub) stub = Open(address);
-  return stub;
+  return GetLocked(address).stub;
 }
 
 std::shared_ptr<v1::Peer::Stub> PeerChannels::OpenSeparate(
     const std::string& address) {
   const std::lock_guard lock(m_mutex);
-  return Open(address);
+  return Open(address).stub;
+}
+
+bool PeerChannels::WaitUntilConnected(const std::string& address,
+                                      Duration timeout) {
+  std::shared_ptr<grpc::Channel> channel;
+  {
+    const std::lock_guard lock(m_mutex);
+    channel = GetLocked(address).channel;
+  }
+  const auto deadline =
+      std::chrono::system_clock::now() +
+      std::chrono::duration_cast<std::chrono::system_clock::duration>(timeout);
+  while (true) {
+    const grpc_connectivity_state state = channel->GetState(true);
+    if (state == GRPC_CHANNEL_READY) return true;
+    if (state == GRPC_CHANNEL_TRANSIENT_FAILURE ||
+        state == GRPC_CHANNEL_SHUTDOWN) {
+      return false;
+    }
+    if (!channel->WaitForStateChange(state, deadline)) return false;
+  }
 }
 
 void PeerChannels::Replace(const std::string& address) {
   const std::lock_guard lock(m_mutex);
-  m_stubs.erase(address);
+  m_connections.erase(address);
+}
+
+PeerChannels::Connection& PeerChannels::GetLocked(const std::string& address) {
+  Connection& connection = m_connections[address];
+  if (!connection.stub) connection = Open(address);
+  return connection;
 }
 
-std::shared_ptr<v1::Peer::Stub> PeerChannels::Open(const std::string& address) {
+PeerChannels::Connection PeerChannels::Open(const std::string& address) {
   grpc::ChannelArguments arguments;
   arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS,
                    kMinReconnectBackoffMs);
   arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, kMinReconnectBackoffMs);
   arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, kMaxReconnectBackoffMs);
   arguments.SetInt(GRPC_ARG_ENABLE_HTTP_PROXY, 0);
+  // A refusal proves "not run" only if its call was delivered once.
+  arguments.SetInt(GRPC_ARG_ENABLE_RETRIES, 0);
   arguments.SetInt("vanillatiller.generation", ++m_generation);
-  return v1::Peer::NewStub(
-      grpc::CreateCustomChannel(address, m_credentials, arguments));
+  Connection connection;
+  connection.channel =
+      grpc::CreateCustomChannel(address, m_credentials, arguments);
+  connection.stub = v1::Peer::NewStub(connection.channel);
+  return connection;
 }
 
 }  // namespace vanillatiller
--- a/Source/node/peer_channels.h
+++ b/Source/node/peer_channels.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <unordered_map>
 
+#include "base/base.h"
 #include "peer.grpc.pb.h"
 
 namespace vanillatiller {
@@ -24,15 +25,25 @@
   // Stub on a connection of its own, for a probe.
   std::shared_ptr<v1::Peer::Stub> OpenSeparate(const std::string& address);
 
+  // Waits until the channel is connected. False if the connection fails or
+  // `timeout` passes: then nothing that is not sent yet has left this node.
+  bool WaitUntilConnected(const std::string& address, Duration timeout);
+
   // Forgets the channel, so that the next use opens a new connection.
   void Replace(const std::string& address);
 
  private:
-  std::shared_ptr<v1::Peer::Stub> Open(const std::string& address);
+  struct Connection {
+    std::shared_ptr<grpc::Channel> channel;
+    std::shared_ptr<v1::Peer::Stub> stub;
+  };
+
+  Connection& GetLocked(const std::string& address);
+  Connection Open(const std::string& address);
 
   const std::shared_ptr<grpc::ChannelCredentials> m_credentials;
   std::mutex m_mutex;
-  std::unordered_map<std::string, std::shared_ptr<v1::Peer::Stub>> m_stubs;
+  std::unordered_map<std::string, Connection> m_connections;
   // Makes each channel's arguments unique, so that gRPC does not share one
   // connection between an old and a new channel.
   int m_generation = 0;
--- a/Source/node/peer_service.cc
+++ b/Source/node/peer_service.cc
@@ -20,10 +20,26 @@
   const CallId m_call;
 };
 
+EntryRequest MakeForwarded(const CallContext& context,
+                           const v1::CallRequest& request) {
+  EntryRequest forwarded;
+  forwarded.service = context.service;
+  forwarded.method = context.method;
+  forwarded.tenant = context.tenant;
+  forwarded.body = request.body();
+  forwarded.ticket = request.ticket();
+  forwarded.forwarded_deadline = context.deadline;
+  return forwarded;
+}
+
 }  // namespace
 
-PeerService::PeerService(const NodeSettings& settings, Callee& callee)
-    : m_settings(settings), m_callee(callee) {}
+PeerService::PeerService(const NodeSettings& settings, Callee& callee,
+                         Entry& entry)
+    : m_settings(settings),
+      m_callee(callee),
+      m_entry(entry),
+      m_forwarded(settings.max_http_threads) {}
 
 grpc::ServerUnaryReactor* PeerService::Call(
     grpc::CallbackServerContext* /*context*/, const v1::CallRequest* request,
@@ -51,7 +67,23 @@
     finish(NotRun(RefusalCode::kBadRequest, "request body was altered"));
     return reactor;
   }
-  m_callee.Handle(std::move(*context), request->body(), finish, now);
+  if (request->ticket().empty()) {
+    m_callee.Handle(std::move(*context), request->body(), finish, now);
+    return reactor;
+  }
+  EntryRequest forwarded = MakeForwarded(*context, *request);
+  m_forwarded.Post([this, finish, forwarded = std::move(forwarded)] {
+    finish(m_entry.Handle(forwarded, BootClock::now()));
+  });
+  return reactor;
+}
+
+grpc::ServerUnaryReactor* PeerService::Fence(
+    grpc::CallbackServerContext* context, const v1::FenceRequest* request,
+    v1::FenceAnswer* response) {
+  m_callee.Fence(*request, BootClock::now(), response);
+  auto* reactor = context->DefaultReactor();
+  reactor->Finish(grpc::Status::OK);
   return reactor;
 }
 
--- a/Source/node/peer_service.h
+++ b/Source/node/peer_service.h
@@ -4,7 +4,9 @@
 #include <grpcpp/grpcpp.h>
 
 #include "node/callee.h"
+#include "node/entry.h"
 #include "node/settings.h"
+#include "node/worker_pool.h"
 #include "peer.grpc.pb.h"
 
 namespace vanillatiller {
@@ -12,11 +14,14 @@
 // Receives the RPCs of other nodes.
 class PeerService final : public v1::Peer::CallbackService {
  public:
-  PeerService(const NodeSettings& settings, Callee& callee);
+  PeerService(const NodeSettings& settings, Callee& callee, Entry& entry);
 
   grpc::ServerUnaryReactor* Call(grpc::CallbackServerContext* context,
                                  const v1::CallRequest* request,
                                  v1::CallAnswer* response) override;
+  grpc::ServerUnaryReactor* Fence(grpc::CallbackServerContext* context,
+                                  const v1::FenceRequest* request,
+                                  v1::FenceAnswer* response) override;
   grpc::ServerUnaryReactor* Ping(grpc::CallbackServerContext* context,
                                  const v1::PingRequest* request,
                                  v1::PingAnswer* response) override;
@@ -27,6 +32,9 @@
  private:
   const NodeSettings& m_settings;
   Callee& m_callee;
+  Entry& m_entry;
+  // Runs requests that other nodes forward to this one for its tickets.
+  WorkerPool m_forwarded;
 };
 
 }  // namespace vanillatiller
