--- a/Source/node/entry.cc
+++ b/Source/node/entry.cc
@@ -260,6 +260,10 @@
 Entry::Step Entry::Refuse(Exchange& exchange, RefusalCode code,
                           std::string text) {
   exchange.answer = NotRun(code, std::move(text));
+  if (exchange.parent) {
+    exchange.parent->RecordRefusal(
+        {exchange.answer.reason, m_settings.service});
+  }
   return Step::kAnswered;
 }
 
--- a/Source/node/entry.h
+++ b/Source/node/entry.h
@@ -92,7 +92,7 @@
   // Keeps the answer for repeats and gives the caller a fresh ticket.
   void FinishTicket(Exchange& exchange);
 
-  static Step Refuse(Exchange& exchange, RefusalCode code, std::string text);
+  Step Refuse(Exchange& exchange, RefusalCode code, std::string text);
 
   const NodeSettings& m_settings;
   const FleetView& m_view;
