Node: Refuse doomed calls at the first callee

Every entry node probes every closed method and tenant, and a probe that passed the first service cost work at all services before the one that refused it. The first callee now refuses by the thresholds that came back with its own answers.

--- a/Source/node/callee.cc
+++ b/Source/node/callee.cc
@@ -45,6 +45,7 @@
                     TimePoint now) {
   Reason reason = CheckAcceptable(context, now);
   if (reason.code != RefusalCode::kNone) return Refuse(reason, done);
+  if (IsDoomed(context, now)) return RefuseDoomed(context, done, now);
 
   auto pending = std::make_shared<PendingCall>();
   pending->context = std::move(context);
@@ -77,6 +78,23 @@
                now);
 }
 
+bool Callee::IsDoomed(const CallContext& context, TimePoint now) {
+  if (m_settings.admission != AdmissionPolicy::kAdaptive) return false;
+  if (context.depth > 0) return false;
+  return m_downstream.Check(context, now) == ThresholdTable::Decision::kRefuse;
+}
+
+void Callee::RefuseDoomed(const CallContext& context, const Done& done,
+                          TimePoint now) {
+  CallAnswer answer = NotRun(RefusalCode::kBelowThreshold,
+                             "a service that this call needs is overloaded");
+  answer.refused_by = m_settings.service;
+  answer.load = load();
+  answer.load.threshold = m_downstream.Get(context, now);
+  answer.attempts = 1;
+  done(std::move(answer));
+}
+
 void Callee::EndRefused(PendingCall& pending, const struct Refuse& refuse) {
   CallAnswer answer = NotRun(refuse.code, RefusalText(refuse.code));
   answer.attempts = 1;
@@ -202,8 +220,9 @@
   answer.load = load();
   AdmissionThreshold threshold = m_gate.ThresholdFor(pending.context);
   if (pending.active) {
-    threshold = AdmissionThreshold::Stricter(
-        threshold, pending.active->downstream_threshold());
+    const auto below = pending.active->downstream_threshold();
+    m_downstream.Update(pending.context, below.Packed(), BootClock::now());
+    threshold = AdmissionThreshold::Stricter(threshold, below);
   }
   answer.load.threshold = threshold.Packed();
   pending.done(std::move(answer));
--- a/Source/node/callee.h
+++ b/Source/node/callee.h
@@ -17,6 +17,7 @@
 #include "node/fleet_view.h"
 #include "node/id_source.h"
 #include "node/settings.h"
+#include "node/threshold_guard.h"
 #include "node/worker_pool.h"
 
 namespace vanillatiller {
@@ -51,6 +52,8 @@
   // Waits until no call is in flight. False if `timeout` passes first.
   bool WaitUntilIdle(std::chrono::milliseconds timeout);
 
+  // To be called about once a second.
+  void ExpireThresholds(TimePoint now) { m_downstream.Expire(now); }
   // To be called every 5 to 20 ms.
   void OnTick(TimePoint now) { m_gate.OnTick(now); }
 
@@ -73,6 +76,10 @@
   void Refuse(Reason reason, const Done& done) const;
   // Has the gate decide over a call that was entered in m_pending.
   void Admit(const std::shared_ptr<PendingCall>& pending, TimePoint now);
+  // True if a service below would refuse the call.
+  bool IsDoomed(const CallContext& context, TimePoint now);
+  void RefuseDoomed(const CallContext& context, const Done& done,
+                    TimePoint now);
   void EndRefused(PendingCall& pending, const struct Refuse& refuse);
   void Run(const std::shared_ptr<PendingCall>& pending);
   CallAnswer Execute(PendingCall& pending);
@@ -89,6 +96,10 @@
   std::atomic<bool> m_draining{false};
   std::atomic<bool> m_is_backend_unreachable{false};
   AdmissionGate m_gate;
+  // Thresholds of the services that calls of this service depend on. Many
+  // entry nodes send probes; the callees refuse most of them before they cost
+  // work.
+  ThresholdGuard m_downstream;
 
   mutable std::mutex m_mutex;
   std::condition_variable m_idle;
--- a/Source/node/node.cc
+++ b/Source/node/node.cc
@@ -39,8 +39,10 @@
       m_admin_front(m_settings.admin_listener, m_settings),
       m_admission_ticker(kAdmissionTick,
                          [this](TimePoint now) { m_callee.OnTick(now); }),
-      m_threshold_ticker(kThresholdTick,
-                         [this](TimePoint now) { m_entry.OnTick(now); }) {
+      m_threshold_ticker(kThresholdTick, [this](TimePoint now) {
+        m_entry.OnTick(now);
+        m_callee.ExpireThresholds(now);
+      }) {
   m_public_front.ServeCalls(m_entry, /*is_local=*/false);
   m_local_front.ServeCalls(m_entry, /*is_local=*/true);
   m_admin_front.ServeText("/status", "application/json",
--- a/Source/node/threshold_guard.cc
+++ b/Source/node/threshold_guard.cc
@@ -25,6 +25,12 @@
                      AdmissionThreshold::FromPacked(threshold), now);
 }
 
+uint64_t ThresholdGuard::Get(const CallContext& context, TimePoint now) {
+  Shard& shard = ShardOf(context);
+  const std::lock_guard lock(shard.mutex);
+  return shard.table.Get(KeyOf(context), context.rank, now).Packed();
+}
+
 void ThresholdGuard::Expire(TimePoint now) {
   for (Shard& shard : m_shards) {
     const std::lock_guard lock(shard.mutex);
--- a/Source/node/threshold_guard.h
+++ b/Source/node/threshold_guard.h
@@ -13,12 +13,15 @@
 // with a lock of its own.
 class ThresholdGuard {
  public:
-  // Decides over a request that enters the fleet.
+  // Decides over a new request.
   ThresholdTable::Decision Check(const CallContext& context, TimePoint now);
 
   // Notes the threshold that came back with an answer, in packed form.
   void Update(const CallContext& context, uint64_t threshold, TimePoint now);
 
+  // The threshold in force, in packed form.
+  uint64_t Get(const CallContext& context, TimePoint now);
+
   // Forgets thresholds that were not renewed.
   void Expire(TimePoint now);
 
--- a/Utilities/admission_bench.cc
+++ b/Utilities/admission_bench.cc
@@ -16,7 +16,8 @@
 
 ABSL_FLAG(int, seconds, 12, "virtual seconds of each run");
 ABSL_FLAG(bool, baselines, true, "also measure fixed and none");
-ABSL_FLAG(int, shape, -1, "0: one server, 1: chain of 4, 2: chain of 12");
+ABSL_FLAG(int, shape, -1,
+          "0: one server, 1: chain of 4, 2: chain of 12, 3: slow last service");
 ABSL_FLAG(int, seeds, 2, "runs of each setting, with different seeds");
 
 namespace vanillatiller {
@@ -46,12 +47,14 @@
   // Slots of the first services are held during the calls below.
   const DriverService wide{70, 70, 0, milliseconds(5)};
   const DriverService narrow{16, 16, 0, milliseconds(10)};
+  const DriverService slow{13, 13, 0, milliseconds(60)};
   std::vector<DriverService> twelve(11, {200, 200, 0, milliseconds(4)});
   twelve.push_back(narrow);
   return {
       {"one server", {leaf}, 2000},
       {"chain of 4", {wide, wide, wide, narrow}, 1600},
       {"chain of 12", twelve, 1600},
+      {"chain of 4, slow last service", {wide, wide, wide, slow}, 13 / 0.060},
   };
 }
 
--- a/Utilities/admission_driver.cc
+++ b/Utilities/admission_driver.cc
@@ -42,7 +42,8 @@
     : m_settings(settings),
       m_random(settings.seed),
       m_start(std::chrono::hours(1)),
-      m_now(m_start) {
+      m_now(m_start),
+      m_entry_tables(settings.entry_nodes) {
   for (uint32_t i = 0; i < m_settings.services.size(); ++i) {
     const DriverService& service = m_settings.services[i];
     Admission::Builder builder;
@@ -58,6 +59,7 @@
     }
     if (service.starts_cold) server.admission->OnBackendRestarted(m_start);
     m_servers.push_back(std::move(server));
+    m_service_names.push_back(std::to_string(i));
     Schedule(m_start + kTick, EventKind::kTick, i, i);
   }
   for (uint32_t i = 0; i < m_settings.streams.size(); ++i) {
@@ -156,6 +158,8 @@
   Request request;
   request.stream = stream_index;
   request.shed_hash = ShedHash(RequestId{{m_random(), m_random()}});
+  request.entry_node =
+      static_cast<uint32_t>(m_random() % m_entry_tables.size());
   request.arrived = m_now;
   request.deadline = m_now + stream.timeout;
   const size_t services = m_settings.services.size();
@@ -165,11 +169,8 @@
   m_requests.push_back(request);
   StreamResult& result = m_result.streams[stream_index];
   if (IsMeasured(request)) ++result.offered;
-  const bool has_table = m_settings.use_threshold_table &&
-                         m_settings.policy == AdmissionPolicy::kAdaptive;
-  const std::string service = std::to_string(stream.first_service);
-  if (has_table && m_table.Check({service, stream.method, stream.tenant},
-                                 stream.rank, request.shed_hash,
+  ThresholdTable& table = m_entry_tables[request.entry_node];
+  if (HasTables() && table.Check(KeyOf(stream), stream.rank, request.shed_hash,
                                  m_now) == ThresholdTable::Decision::kRefuse) {
     if (IsMeasured(request)) ++result.refused_at_entry;
     m_requests[index].is_ended = true;
@@ -178,15 +179,32 @@
   Schedule(m_now + kHop, EventKind::kOffer, index, stream.first_service);
 }
 
+bool AdmissionDriver::HasTables() const {
+  return m_settings.use_threshold_table &&
+         m_settings.policy == AdmissionPolicy::kAdaptive;
+}
+
+ThresholdKey AdmissionDriver::KeyOf(const DriverStream& stream) const {
+  return {m_service_names[stream.first_service], stream.method, stream.tenant};
+}
+
 void AdmissionDriver::OfferCall(uint32_t request_index, uint32_t service) {
-  const Request& request = m_requests[request_index];
+  Request& request = m_requests[request_index];
   const DriverStream& stream = m_settings.streams[request.stream];
+  const bool is_first = service == stream.first_service;
+  if (is_first && HasTables() && m_settings.use_callee_table &&
+      m_callee_table.Check(KeyOf(stream), stream.rank, request.shed_hash,
+                           m_now) == ThresholdTable::Decision::kRefuse) {
+    request.has_failed = true;
+    request.threshold = m_callee_table.Get(KeyOf(stream), stream.rank, m_now);
+    return Answer(request_index, service);
+  }
   Work work;
   work.id = request_index;
   work.shed_hash = request.shed_hash;
   work.rank = stream.rank;
   work.is_protected = stream.is_protected;
-  work.is_nested = service > stream.first_service;
+  work.is_nested = !is_first;
   work.deadline = request.deadline;
   work.tenant = stream.tenant;
   work.method = stream.method;
@@ -279,6 +297,10 @@
   const BackendResult result{was_shed ? BackendOutcome::kShed : outcome,
                              request.own_latency[service]};
   server.admission->OnFinished(request_index, result, m_now, &actions);
+  const DriverStream& stream = m_settings.streams[request.stream];
+  if (service == stream.first_service && stream.chain_length > 1) {
+    m_callee_table.Update(KeyOf(stream), stream.rank, request.threshold, m_now);
+  }
   CarryOut(actions, service);
   Answer(request_index, service);
 }
@@ -331,9 +353,8 @@
 void AdmissionDriver::EndRequest(uint32_t request_index) {
   Request& request = m_requests[request_index];
   const DriverStream& stream = m_settings.streams[request.stream];
-  const std::string service = std::to_string(stream.first_service);
-  m_table.Update({service, stream.method, stream.tenant}, stream.rank,
-                 request.threshold, m_now);
+  m_entry_tables[request.entry_node].Update(KeyOf(stream), stream.rank,
+                                            request.threshold, m_now);
   request.is_ended = true;
   const bool is_good = !request.has_failed && m_now < request.deadline;
   if (IsMeasured(request)) {
--- a/Utilities/admission_driver.h
+++ b/Utilities/admission_driver.h
@@ -58,6 +58,10 @@
   AdmissionPolicy policy = AdmissionPolicy::kAdaptive;
   // Refuse at the entry by ThresholdTable; only with kAdaptive.
   bool use_threshold_table = true;
+  // The first service also refuses by what its answers from below said.
+  bool use_callee_table = true;
+  // Nodes at which requests enter, each with a table of its own.
+  uint32_t entry_nodes = 8;
   std::vector<DriverService> services;
   std::vector<DriverStream> streams;
   std::vector<DriverFault> faults;
@@ -123,6 +127,7 @@
 
   struct Request {
     uint32_t stream = 0;
+    uint32_t entry_node = 0;
     uint32_t shed_hash = 0;
     TimePoint arrived;
     TimePoint deadline;
@@ -158,6 +163,9 @@
   void Answer(uint32_t request, uint32_t service);
   void EndRequest(uint32_t request);
   double Slowdown(uint32_t service) const;
+  bool HasTables() const;
+  // Key of the first call of a request.
+  ThresholdKey KeyOf(const DriverStream& stream) const;
   uint32_t LastService(const Request& request) const;
   bool IsMeasured(const Request& request) const;
 
@@ -168,8 +176,11 @@
   uint64_t m_sequence = 0;
   std::priority_queue<Event, std::vector<Event>, std::greater<>> m_events;
   std::vector<Server> m_servers;
+  std::vector<std::string> m_service_names;
   std::vector<Request> m_requests;
-  ThresholdTable m_table;
+  std::vector<ThresholdTable> m_entry_tables;
+  // Thresholds of what the first services call, kept there.
+  ThresholdTable m_callee_table;
   DriverResult m_result;
   double m_total_work = 0;
   double m_wasted_work = 0;
