Admission: Drain standing queues by capacity kept back

The capacity factor integrated the sign of a queue that is itself an integral, so both swung by 10% for seconds. Capacity in proportion to the standing queue is now kept back for 300 ms, and the factor only corrects lasting errors, by 1% for each window.

--- a/Source/admission/threshold_controller.cc
+++ b/Source/admission/threshold_controller.cc
@@ -28,8 +28,12 @@
 constexpr double kIdleUtilization = 0.8;
 // At this utilization the capacity factor stays as it is.
 constexpr double kFullUtilization = 0.97;
-constexpr double kFactorFall = 0.97;
-constexpr double kFactorRise = 1.02;
+// Steps of the capacity factor for each window. They correct lasting errors of
+// the estimates; the queue itself is drained by capacity kept back for it.
+constexpr double kFactorFall = 0.99;
+constexpr double kFactorRise = 1.01;
+// Time in which capacity is kept back to drain a standing queue, in seconds.
+constexpr double kDrainTime = 0.3;
 // Refused part of nested calls at which the capacity factor falls: each wastes
 // the work of the services above.
 constexpr double kToleratedNestedRefusals = 0.01;
@@ -87,7 +91,7 @@
     m_capacity_factor = 1;
   }
   if (!m_is_overloaded) return;
-  CorrectCapacity(report, has_standing_queue);
+  CorrectCapacity(report, has_standing_queue, *flows);
   SetShares(report, flows);
   const auto admits_all = [](const Flow& flow) { return flow.share >= 1; };
   const auto& all = flows->All();
@@ -120,7 +124,11 @@
 }
 
 void ThresholdController::CorrectCapacity(const WindowReport& report,
-                                          bool has_standing_queue) {
+                                          bool has_standing_queue,
+                                          const FlowTable& flows) {
+  const double excess =
+      std::max(0.0, report.standing_queue - kMinStandingQueue);
+  m_backlog_slots = excess * MeanHold(flows) / kDrainTime;
   const double tolerated = kToleratedNestedRefusals * report.nested_offered;
   if (has_standing_queue) {
     m_capacity_factor *= kFactorFall;
@@ -152,7 +160,8 @@
                          flows->TenantWeight(flow.tenant), flow.demand * hold,
                          0});
   }
-  PlanShares(report.limit * m_capacity_factor, m_demands);
+  const double capacity = report.limit * m_capacity_factor - m_backlog_slots;
+  PlanShares(std::max(0.0, capacity), m_demands);
   // Less important classes get nothing while a more important one is held
   // below its demand.
   bool is_used_up = false;
--- a/Source/admission/threshold_controller.h
+++ b/Source/admission/threshold_controller.h
@@ -56,7 +56,8 @@
   void MeasureDemand(const WindowReport& report, FlowTable* flows);
   bool HasStandingQueue(const WindowReport& report,
                         const FlowTable& flows) const;
-  void CorrectCapacity(const WindowReport& report, bool has_standing_queue);
+  void CorrectCapacity(const WindowReport& report, bool has_standing_queue,
+                       const FlowTable& flows);
   void SetShares(const WindowReport& report, FlowTable* flows);
   // Moves a share towards its target; gives the share that is in force.
   double MoveShare(double share, double target, double utilization) const;
@@ -65,6 +66,8 @@
   bool m_is_overloaded = false;
   // Part of the limit that is given out.
   double m_capacity_factor = 1;
+  // Slots kept back to drain the standing queue.
+  double m_backlog_slots = 0;
   // Demands of the present window; kept to save allocations.
   std::vector<ShareDemand> m_demands;
   std::vector<FlowIndex> m_order;
