Admission: Follow service times at once where they change by far

After a slow spell the mean over 128 calls kept shares down for seconds. It now jumps where the mean of the last 16 calls is far off, and demand is taken to be overestimated where slots stay free.

--- a/Source/admission/service_time.h
+++ b/Source/admission/service_time.h
@@ -32,9 +32,17 @@
   void OnWindow(bool was_reached);
 
  private:
-  // Seconds.
-  double m_hold = 0;
-  double m_latency = 0;
+  // Mean of many calls, which jumps to the mean of the last few calls where
+  // the two are far apart. Seconds.
+  struct Mean {
+    double slow = 0;
+    double fast = 0;
+
+    void Add(double value, uint32_t samples);
+  };
+
+  Mean m_hold;
+  Mean m_latency;
   double m_base_latency = 0;
   uint32_t m_samples = 0;
   bool m_was_sampled = false;
--- a/Source/admission/threshold_controller.cc
+++ b/Source/admission/threshold_controller.cc
@@ -44,6 +44,8 @@
 // A standing queue of less than this many calls is no overload, whatever delay
 // it means at a backend server with few slots.
 constexpr double kMinStandingQueue = 2;
+// Smallest correction of the estimated demand.
+constexpr double kMinCorrection = 0.25;
 constexpr uint32_t kMaxIdleWindows = 20;
 
 double Seconds(Duration duration) {
@@ -142,6 +144,21 @@
   m_capacity_factor = std::clamp(m_capacity_factor, kMinFactor, kMaxFactor);
 }
 
+double ThresholdController::DemandCorrection(const WindowReport& report,
+                                             const FlowTable& flows) {
+  if (report.utilization >= kIdleUtilization || report.standing_queue > 0) {
+    return 1;
+  }
+  double expected = 0;
+  for (const Flow& flow : flows.All()) {
+    const double hold = Seconds(flows.ServiceTimeOf(flow).Hold());
+    expected += flow.demand * flow.share * hold;
+  }
+  const double held = report.utilization * report.limit;
+  if (expected <= held) return 1;
+  return std::max(kMinCorrection, held / expected);
+}
+
 void ThresholdController::SetShares(const WindowReport& report,
                                     FlowTable* flows) {
   m_order.clear();
@@ -152,13 +169,14 @@
     return std::tie(first.order_class, first.tenant, first.method) <
            std::tie(second.order_class, second.tenant, second.method);
   });
+  const double correction = DemandCorrection(report, *flows);
   m_demands.clear();
   for (const FlowIndex index : m_order) {
     const Flow& flow = flows->At(index);
     const double hold = Seconds(flows->ServiceTimeOf(flow).Hold());
     m_demands.push_back({flow.order_class, flow.tenant,
-                         flows->TenantWeight(flow.tenant), flow.demand * hold,
-                         0});
+                         flows->TenantWeight(flow.tenant),
+                         flow.demand * hold * correction, 0});
   }
   const double capacity = report.limit * m_capacity_factor - m_backlog_slots;
   PlanShares(std::max(0.0, capacity), m_demands);
--- a/Source/admission/threshold_controller.h
+++ b/Source/admission/threshold_controller.h
@@ -58,6 +58,10 @@
                         const FlowTable& flows) const;
   void CorrectCapacity(const WindowReport& report, bool has_standing_queue,
                        const FlowTable& flows);
+  // Factor of the estimated slots, at most 1: where slots stay free, the
+  // service times or demands are overestimated, as after a slow spell.
+  static double DemandCorrection(const WindowReport& report,
+                                 const FlowTable& flows);
   void SetShares(const WindowReport& report, FlowTable* flows);
   // Moves a share towards its target; gives the share that is in force.
   double MoveShare(double share, double target, double utilization) const;
