--- a/Source/admission/concurrency_limit.cc
+++ b/Source/admission/concurrency_limit.cc
@@ -18,7 +18,9 @@
 // Smallest d(log latency) / d(log limit) at which a lower limit is kept: 1
 // means that the lost concurrency was only waiting, 0 that it was useful.
 constexpr double kKeptElasticity = 0.5;
-constexpr Duration kMaxTrial = std::chrono::seconds(5);
+// Longer trials would take the end of a slow spell for their own success. A
+// backend server with fewer calls a second than a trial needs keeps its limit.
+constexpr Duration kMaxTrial = std::chrono::seconds(1);
 // How long an uncured slowdown is accepted before the next trial.
 constexpr Duration kAcceptance = std::chrono::seconds(10);
 // Growth for each window: below the known bound by a part of the limit, in
@@ -27,7 +29,7 @@
 // refused calls.
 constexpr double kFastGrowth = 0.05;
 constexpr double kFastGrowthCalls = 1.0;
-constexpr double kGrowthAfterTrial = 0.01;
+constexpr double kGrowthAfterTrial = 0.02;
 constexpr double kGrowthAfterShed = 0.002;
 // A refusal by the backend server lowers the limit to this part of what it
 // held, and marks a bound a little below what it held.
@@ -76,7 +78,11 @@
 void ConcurrencyLimit::OnWindow(bool was_reached, TimePoint now) {
   const bool is_trial =
       m_phase == Phase::kTrialSettling || m_phase == Phase::kTrialMeasuring;
-  if (is_trial && now - m_trial_started > kMaxTrial) return EndTrial(now);
+  if (is_trial && now - m_trial_started > kMaxTrial) {
+    m_accepted_slowdown = m_slowdown_before_trial;
+    m_accepted_until = now + kAcceptance;
+    return EndTrial(now);
+  }
   if (now >= m_accepted_until) m_accepted_slowdown = 1;
   // A ramp goes on once every slot was used about once.
   const bool is_ramp = m_phase == Phase::kRamp;
