Admission: Let shares fall by steps and tolerate 2% refused nested calls

One noisy window closed the least important class, which then took more than a second to open. A share now falls to a quarter at most in a window. Refusals of nested calls up to 2%, which a queue at full load refuses by chance, no longer lower the capacity factor.

--- a/Source/admission/threshold_controller.cc
+++ b/Source/admission/threshold_controller.cc
@@ -22,6 +22,7 @@
 constexpr double kSmallChange = 0.25;
 constexpr double kSmallChangeWeight = 0.3;
 // Steps of a rising share for each window.
+constexpr double kFall = 0.25;
 constexpr double kRaise = 1.25;
 constexpr double kFastRaise = 2.0;
 // Below this utilization shares rise fast.
@@ -36,7 +37,7 @@
 constexpr double kDrainTime = 0.3;
 // Refused part of nested calls at which the capacity factor falls: each wastes
 // the work of the services above.
-constexpr double kToleratedNestedRefusals = 0.01;
+constexpr double kToleratedNestedRefusals = 0.02;
 // Fall of the capacity factor for each refused part of the nested calls.
 constexpr double kRefusedWeight = 0.3;
 constexpr double kMinFactor = 0.5;
@@ -210,7 +211,7 @@
   if (target < 1 && std::abs(target - share) < kSmallChange * share) {
     return share + kSmallChangeWeight * (target - share);
   }
-  if (target <= share) return target;
+  if (target <= share) return std::max(target, kFall * share);
   const bool is_idle = utilization < kIdleUtilization;
   return std::min(target, share * (is_idle ? kFastRaise : kRaise));
 }
