--- a/Source/metrics/registry.cc
+++ b/Source/metrics/registry.cc
@@ -154,6 +154,17 @@
   counts.backend_us += ToMicroseconds(sample.backend_time);
 }
 
+void MetricsRegistry::RecordEarlyRefusal(std::string_view caller,
+                                         std::string_view callee, uint32_t rank,
+                                         RefusalCode code) {
+  EdgeSeries& series = Tables::FindOrOther(
+      m_tables->edges, {caller, callee, rank}, &m_overflowed);
+  const std::lock_guard lock(series.mutex);
+  ++series.counts.calls;
+  ++series.counts.outcomes[OutcomeIndex(Outcome::kNotRun)];
+  ++series.counts.refusals[RefusalIndex(code)];
+}
+
 void MetricsRegistry::RecordConnectFailure(std::string_view caller,
                                            std::string_view callee) {
   ConnectionSeries& series = Tables::FindOrOther(
@@ -238,7 +249,7 @@
     return request.latency.count == 0;
   });
   std::erase_if(snapshot.edges, [](const EdgeSnapshot& edge) {
-    return edge.attempts == 0 && edge.in_flight == 0;
+    return edge.attempts == 0 && edge.calls == 0 && edge.in_flight == 0;
   });
   std::erase_if(snapshot.connections, [](const ConnectionSnapshot& connection) {
     return connection.connect_failures == 0 &&
--- a/Source/metrics/registry.h
+++ b/Source/metrics/registry.h
@@ -138,6 +138,12 @@
                     uint32_t rank);
   void EndAttempt(const AttemptSample& sample);
 
+  // A call that was refused before any attempt, because of what the callee had
+  // said earlier. It counts as a call and a refusal, but tells nothing of the
+  // service that refuses first.
+  void RecordEarlyRefusal(std::string_view caller, std::string_view callee,
+                          uint32_t rank, RefusalCode code);
+
   void RecordConnectFailure(std::string_view caller, std::string_view callee);
   void RecordSilentConnection(std::string_view caller, std::string_view callee);
   // A probe on a new connection; nullopt if it was not answered.
--- a/Source/node/node.h
+++ b/Source/node/node.h
@@ -21,6 +21,7 @@
 #include "node/platform_client.h"
 #include "node/settings.h"
 #include "node/status_report.h"
+#include "node/ticker.h"
 
 namespace vanillatiller {
 
@@ -60,6 +61,8 @@
   HttpFront m_local_front;
   HttpFront m_admin_front;
   std::unique_ptr<grpc::Server> m_server;
+  Ticker m_admission_ticker;
+  Ticker m_threshold_ticker;
 };
 
 }  // namespace vanillatiller
