Diagnosis: Add the verdicts and vtctl diagnose

Cause: a slow service deep in the call graph looks like a network fault on every edge above it.

Change: the diagnosis library judges each edge and rank from counters that only overload or only the network can raise, and names the service in which overload begins. vtctl diagnose takes two samples of all nodes and judges the difference.

--- a/Source/diagnosis/diagnoser.h
+++ b/Source/diagnosis/diagnoser.h
@@ -31,7 +31,7 @@
 // services that it calls is.
 struct OverloadOrigin {
   std::string service;
-  // Overload refusals that this service issued first.
+  // Refusals that this service issued first.
   uint64_t refusals = 0;
   std::vector<std::string> evidence;
 };
@@ -53,6 +53,7 @@
 
  private:
   friend class DiagnoserBuilder;
+  friend class DiagnosisRun;
   struct Thresholds {
     // Fraction of attempts; below it, refusals and failures are not evidence.
     double fraction = 0.01;
--- a/Source/diagnosis/evidence.h
+++ b/Source/diagnosis/evidence.h
@@ -20,13 +20,15 @@
   uint64_t calls = 0;
   uint64_t attempts = 0;
   uint64_t complete = 0;
-  // Refusals with the codes overload and below-threshold.
+  // Refusals with the codes overload, below-threshold and backend-refused, by
+  // the callee or by a service below it.
   uint64_t overload_refusals = 0;
   // Attempts that passed their deadline.
   uint64_t deadline_exceeded = 0;
   // Attempts whose connection was lost before the answer.
   uint64_t connections_lost = 0;
-  // Overload refusals by the service that refused first.
+  // Refusals for overload or for a deadline, by the service that refused
+  // first.
   std::map<std::string, uint64_t> first_refusers;
   uint64_t round_trip_us = 0;
   uint64_t queue_wait_us = 0;
@@ -56,7 +58,7 @@
   uint64_t limit_reached = 0;
 };
 
-// Evidence of the whole fleet.
+// Evidence of one node or of the whole fleet.
 struct FleetEvidence {
   std::vector<EdgeEvidence> edges;
   std::vector<ConnectionEvidence> connections;
@@ -65,6 +67,13 @@
   std::vector<std::string> silent_nodes;
 };
 
+// What was counted between two samples of one node. Counters that are lower
+// than before belong to a restarted process and are taken whole.
+FleetEvidence Since(const FleetEvidence& earlier, const FleetEvidence& later);
+
+// Adds the counters of `item` to those of `sum`, edge by edge.
+void Add(const FleetEvidence& item, FleetEvidence* sum);
+
 }  // namespace vanillatiller
 
 #endif  // VANILLATILLER_SOURCE_DIAGNOSIS_EVIDENCE_H_
--- a/Source/metrics/registry.cc
+++ b/Source/metrics/registry.cc
@@ -49,6 +49,15 @@
   LatencyAccumulator probe_round_trip;
 };
 
+// Reasons whose first refuser tells where overload begins. A deadline that
+// cannot be met is refused by the service whose queue is too long.
+bool IsOverloadSign(RefusalCode code) {
+  return code == RefusalCode::kOverload ||
+         code == RefusalCode::kBelowThreshold ||
+         code == RefusalCode::kBackendRefused ||
+         code == RefusalCode::kDeadlineExceeded;
+}
+
 void CountRefuser(std::vector<RefuserCount>* refusers,
                   std::string_view service) {
   const auto by_name = [&](std::string_view name) {
@@ -144,7 +153,7 @@
   if (sample.refusal != RefusalCode::kNone) {
     ++counts.refusals[RefusalIndex(sample.refusal)];
   }
-  if (!sample.refused_by.empty()) {
+  if (!sample.refused_by.empty() && IsOverloadSign(sample.refusal)) {
     CountRefuser(&counts.refusers, sample.refused_by);
   }
   const uint64_t round_trip_us = ToMicroseconds(sample.round_trip);
--- a/Source/metrics/registry.h
+++ b/Source/metrics/registry.h
@@ -42,7 +42,8 @@
   bool first = true;
   Outcome outcome = Outcome::kComplete;
   RefusalCode refusal = RefusalCode::kNone;
-  // Service that refused first; empty if none did or it is not known.
+  // Service that refused first; empty if none did or it is not known. A
+  // complete answer may have a refusal: that of a call below it.
   std::string_view refused_by;
   // From sending to the answer or the failure.
   Duration round_trip{};
@@ -88,6 +89,7 @@
   uint64_t attempts = 0;
   std::array<uint64_t, 4> outcomes{};
   std::array<uint64_t, kRefusalCodes> refusals{};
+  // First refusers for overload or for a deadline.
   std::vector<RefuserCount> refusers;
   uint64_t in_flight = 0;
   uint64_t round_trip_us = 0;
--- a/Source/vtctl/command.cc
+++ b/Source/vtctl/command.cc
@@ -25,6 +25,10 @@
      "show latency, queue wait and added time by service, tenant and rank, "
      "summed over the nodes",
      0, true, ShowHistogram},
+    {"diagnose", "",
+     "judge each edge and rank: healthy, overload, network or both; name the "
+     "service in which overload begins",
+     0, true, Diagnose},
     {"verify", "NOTE",
      "wait until the nodes have NOTE in force; name those that differ, are "
      "unreachable or unconfirmed",
@@ -46,6 +50,8 @@
   --json                  print JSON for scripts instead of tables
   --nodes=IP:PORT,...     peer addresses of the nodes to ask
   --timeout=2s            time that one node has to answer
+  --window=5s             time that "diagnose" observes; 0s takes all numbers
+                          since the nodes started
   --deadline=11s          how long "verify" waits for the nodes
   --reason=TEXT           why "drain" stops the node; goes to the node's log
   --ca=FILE --cert=FILE --key=FILE
--- a/Source/vtctl/commands.h
+++ b/Source/vtctl/commands.h
@@ -12,6 +12,7 @@
 ExitStatus ShowMembers(const Invocation& invocation);
 ExitStatus ShowHistogram(const Invocation& invocation);
 ExitStatus DrainNode(const Invocation& invocation);
+ExitStatus Diagnose(const Invocation& invocation);
 ExitStatus VerifyNote(const Invocation& invocation);
 
 }  // namespace vanillatiller
--- a/Source/vtctl/main.cc
+++ b/Source/vtctl/main.cc
@@ -16,6 +16,8 @@
           "time that one node has to answer");
 ABSL_FLAG(absl::Duration, deadline, absl::Seconds(11),
           "how long verify waits for the nodes");
+ABSL_FLAG(absl::Duration, window, absl::Seconds(5),
+          "time that diagnose observes");
 ABSL_FLAG(std::string, reason, "", "why drain stops the node");
 ABSL_FLAG(std::string, ca, "", "PEM file with the certificate authority");
 ABSL_FLAG(std::string, cert, "", "PEM file with the client certificate");
@@ -34,6 +36,7 @@
   options.json = absl::GetFlag(FLAGS_json);
   options.nodes = absl::GetFlag(FLAGS_nodes);
   options.deadline = absl::ToChronoNanoseconds(absl::GetFlag(FLAGS_deadline));
+  options.window = absl::ToChronoNanoseconds(absl::GetFlag(FLAGS_window));
   options.reason = absl::GetFlag(FLAGS_reason);
   return options;
 }
--- a/Tests/vtctl_test.cc
+++ b/Tests/vtctl_test.cc
@@ -299,6 +299,30 @@
              members.out);
   BOOST_TEST(members.out.find("live (1), unknown (1)") != std::string::npos,
              members.out);
+  // The edge into the deepest service waits for most of its round trip.
+  fleet.nodes["b"].edges = R"({"service":"records","load":{"slots":16,
+      "concurrency_limit":4,"offered":1000,"limit_reached":900},
+      "edges":[{"caller":"ledger","callee":"records","rank":"urgent",
+      "calls":1000,"attempts":1000,"outcomes":{"complete":800},
+      "refusals":{"overload":200},"first_refusers":{"records":200},
+      "round_trip_us":9000000,"queue_wait_us":8000000}],
+      "connections":[{"caller":"ledger","callee":"records"}]})";
+  options.window = Duration::zero();
+  const Run diagnosis = RunWords({"diagnose"}, options, &fleet);
+  BOOST_TEST((diagnosis.status == ExitStatus::kFaults));
+  BOOST_TEST(diagnosis.out.find("20.0% of 1000 calls refused for overload, "
+                                "first by records (200)") != std::string::npos,
+             diagnosis.out);
+  BOOST_TEST(
+      diagnosis.out.find("Overload begins in \"records\"") != std::string::npos,
+      diagnosis.out);
+  // Nothing happens within a window, so nothing is wrong in it.
+  options.window = std::chrono::seconds(5);
+  options.json = true;
+  const Run window = RunWords({"diagnose"}, options, &fleet);
+  BOOST_TEST((window.status == ExitStatus::kOk));
+  BOOST_TEST(nlohmann::json::parse(window.out)["verdict"] == "healthy");
+  options.json = false;
   BOOST_TEST(RunWords({"drain", "a"}, options, &fleet).out ==
              "a: draining, 4 calls in flight\n");
   BOOST_TEST((RunWords({"drain", "gone"}, options, &fleet).status ==
