--- a/Source/node/callee.cc
+++ b/Source/node/callee.cc
@@ -65,7 +65,6 @@
       ++m_unanswered;
     }
   }
-  m_metrics.RecordOffer(reason.code == RefusalCode::kOverload);
   if (reason.code != RefusalCode::kNone) {
     return Refuse(Outcome::kUnknown, reason, unspent, pending->done);
   }
@@ -73,6 +72,8 @@
 }
 
 void Callee::Admit(const std::shared_ptr<PendingCall>& pending, TimePoint now) {
+  const AdmissionState state = m_gate.State();
+  m_metrics.RecordOffer(state.in_flight >= state.limit);
   pending->work = m_gate.NextId();
   m_gate.Offer(pending->work, pending->context,
                {.dispatch =
--- a/Source/node/entry.cc
+++ b/Source/node/entry.cc
@@ -225,6 +225,9 @@
                            "service \"" + exchange.context.service +
                                "\" or one below it is overloaded");
   exchange.answer.refused_by = exchange.context.service;
+  m_metrics.RecordEarlyRefusal("", exchange.context.service,
+                               exchange.context.rank,
+                               RefusalCode::kBelowThreshold);
   return Step::kAnswered;
 }
 
