Bench: Judge tries singly, choose entries and report added time

A caller's later try without a ticket kept the use number of an earlier try that had run, so its refusal was held against the earlier execution.

Change: each try without a ticket is a use of its own; a failed answer under a ticket is final. Classes can enter at nodes of one service, and the report shows the time that nodes add to direct calls.

--- a/Source/vtbench/caller.cc
+++ b/Source/vtbench/caller.cc
@@ -77,14 +77,11 @@
   uint32_t attempts = 0;
 };
 
-Caller::Caller(const Experiment& experiment, Targets entries, Targets direct)
-    : m_experiment(experiment),
-      m_entries(std::move(entries)),
-      m_direct(std::move(direct)) {}
-
-std::shared_ptr<Target> Caller::ChooseTarget(const LoadClass& load,
-                                             Generator* generator) const {
-  const Targets& targets = load.direct ? m_direct : m_entries;
+Caller::Caller(const Experiment& experiment, std::vector<Targets> targets)
+    : m_experiment(experiment), m_targets(std::move(targets)) {}
+
+std::shared_ptr<Target> Caller::ChooseTarget(const Targets& targets,
+                                             Generator* generator) {
   const TimePoint now = BootClock::now();
   boost::random::uniform_int_distribution<size_t> pick(0, targets.size() - 1);
   size_t index = pick(*generator);
@@ -95,10 +92,11 @@
   return targets[index];
 }
 
-Caller::Try Caller::PerformTry(const LoadClass& load, const std::string& body,
+Caller::Try Caller::PerformTry(uint32_t load_class, const std::string& body,
                                const std::string& ticket,
                                std::chrono::nanoseconds timeout,
                                Generator* generator) const {
+  const LoadClass& load = m_experiment.classes[load_class];
   Try result;
   httplib::Headers headers = {
       {"X-Vt-Tenant", load.tenant},
@@ -108,7 +106,7 @@
   if (!ticket.empty()) headers.emplace("X-Vt-Ticket", ticket);
   const std::string path = absl::StrCat("/", load.service, "/", load.method);
   for (int i = 0; i < kConnectAttempts; ++i) {
-    const auto target = ChooseTarget(load, generator);
+    const auto target = ChooseTarget(m_targets[load_class], generator);
     auto client = target->Take();
     client->set_read_timeout(
         std::chrono::duration_cast<std::chrono::microseconds>(timeout));
@@ -166,7 +164,7 @@
       break;
     }
     const Try outcome = PerformTry(
-        load, TryBody(result.id, use, load.padding), ticket,
+        arrival.load_class, TryBody(result.id, use, load.padding), ticket,
         std::min(left, std::chrono::nanoseconds(load.try_timeout)), &generator);
     ++result.tries;
     result.verdict = outcome.verdict;
@@ -179,12 +177,14 @@
       }
       break;
     }
+    // A failed answer to a request under a ticket is final: it ran.
+    if (load.uses_ticket && outcome.verdict == CallerVerdict::kFailed) break;
     if (outcome.verdict == CallerVerdict::kNotRun) {
       result.refused_uses.push_back(use);
-      ++use;
       ticket = outcome.ticket;
     }
-    // After an unknown outcome the request is repeated under the same ticket.
+    // Only a repeat under the same ticket means the same use.
+    if (!load.uses_ticket || outcome.verdict == CallerVerdict::kNotRun) ++use;
   }
   result.latency = BootClock::now() - intended;
   return result;
--- a/Source/vtbench/caller.h
+++ b/Source/vtbench/caller.h
@@ -86,9 +86,9 @@
 // Performs requests as a caller outside the fleet does. Thread-safe.
 class Caller {
  public:
-  // `entries` are the public listeners of the nodes; `direct` the backend
-  // servers, for the classes that pass the nodes by.
-  Caller(const Experiment& experiment, Targets entries, Targets direct);
+  // `targets` holds, for each class of the experiment, the listeners that its
+  // requests are sent to.
+  Caller(const Experiment& experiment, std::vector<Targets> targets);
 
   // Performs one request with all its tries. `intended` is the intended start.
   RequestResult Perform(const Arrival& arrival, uint64_t number,
@@ -98,21 +98,20 @@
   using Generator = boost::random::taus88;
   struct Try;
 
-  std::shared_ptr<Target> ChooseTarget(const LoadClass& load,
-                                       Generator* generator) const;
-  Try PerformTry(const LoadClass& load, const std::string& body,
+  static std::shared_ptr<Target> ChooseTarget(const Targets& targets,
+                                              Generator* generator);
+  Try PerformTry(uint32_t load_class, const std::string& body,
                  const std::string& ticket, std::chrono::nanoseconds timeout,
                  Generator* generator) const;
 
   const Experiment& m_experiment;
-  Targets m_entries;
-  Targets m_direct;
+  std::vector<Targets> m_targets;
 };
 
 // Body of one try: a JSON object with the request's identity, the use number
-// and the path of the call, which backend servers pass on and record. A caller
-// counts a new use each time it repeats a request after it was told that the
-// previous use was not run; repeats under the same ticket keep the use.
+// and the path of the call, which backend servers pass on and record. Each try
+// is a use of its own, but repeats under the same ticket keep the use, because
+// the ticket's request may have run for an earlier one.
 std::string TryBody(const std::string& id, uint32_t use, uint32_t padding);
 
 }  // namespace vanillatiller
--- a/Source/vtbench/experiment.cc
+++ b/Source/vtbench/experiment.cc
@@ -1,6 +1,7 @@
 #include "vtbench/experiment.h"
 
 #include <algorithm>
+#include <cmath>
 #include <initializer_list>
 #include <sstream>
 
@@ -157,7 +158,7 @@
                     double headroom) {
   const uint32_t length = depth - place;
   if (length == 1) return slots;
-  return static_cast<uint32_t>(slots * length * headroom + 0.5);
+  return static_cast<uint32_t>(std::lround(slots * length * headroom));
 }
 
 void ReadChain(Reader& reader, const toml::table& table,
@@ -189,9 +190,10 @@
 
 void ReadClass(Reader& reader, const toml::table& table,
                Experiment* experiment) {
-  reader.CheckFields(table, {"name", "tenant", "service", "method",
-                             "deadline_ms", "try_timeout_ms", "retries",
-                             "retry_delay_ms", "ticket", "direct", "padding"});
+  reader.CheckFields(
+      table, {"name", "tenant", "service", "method", "deadline_ms",
+              "try_timeout_ms", "retries", "retry_delay_ms", "ticket", "direct",
+              "entry_service", "padding"});
   LoadClass load;
   load.name = reader.GetName(table, "name");
   load.tenant = reader.GetName(table, "tenant");
@@ -204,6 +206,7 @@
   load.retry_delay = reader.GetMilliseconds(table, "retry_delay_ms", {});
   load.uses_ticket = reader.Get(table, "ticket", false);
   load.direct = reader.Get(table, "direct", false);
+  load.entry_service = reader.Get<std::string>(table, "entry_service", "");
   load.padding = reader.GetCount(table, "padding", 0);
   const ServiceConfig* service = experiment->fleet.FindService(load.service);
   if (service == nullptr || service->FindMethod(load.method) == nullptr) {
--- a/Source/vtbench/experiment.h
+++ b/Source/vtbench/experiment.h
@@ -43,6 +43,8 @@
   bool uses_ticket = false;
   // Sends straight to a backend server, past the nodes.
   bool direct = false;
+  // Enters only at nodes of this service; empty means at any node.
+  std::string entry_service;
   // Bytes of padding in the body of each request.
   uint32_t padding = 0;
 };
--- a/Source/vtbench/main.cc
+++ b/Source/vtbench/main.cc
@@ -1,6 +1,7 @@
 // Command line of vtbench. Utilities/run_experiment.sh calls it in turn with
 // the modes below; vtbench itself starts no process.
 
+#include <exception>
 #include <fstream>
 #include <iostream>
 #include <sstream>
@@ -70,7 +71,8 @@
 bool WaitUntilReady(const Experiment& experiment, const Targets& entries) {
   const TimePoint give_up = BootClock::now() + kReadyTimeout;
   for (const auto& entry : entries) {
-    const Caller caller(experiment, {entry}, {entry});
+    const Caller caller(
+        experiment, std::vector<Targets>(experiment.classes.size(), {entry}));
     for (uint32_t i = 0; i < experiment.classes.size(); ++i) {
       if (experiment.classes[i].direct) continue;
       const Arrival arrival{{}, 0, i, 1};
@@ -148,10 +150,10 @@
       if (BootClock::now() < next) continue;
       next += kProgressInterval;
       const double elapsed = ToMilliseconds(BootClock::now() - m_start) / 1000;
-      std::cerr << absl::StrFormat("%s: %.0f of %.0f s, %d done, %d good\n",
-                                   m_label, elapsed,
-                                   m_experiment.TotalDuration().count() / 1e3,
-                                   m_done.load(), m_good.load());
+      std::cerr << absl::StrFormat(
+          "%s: %.0f of %.0f s, %d done, %d good\n", m_label, elapsed,
+          std::chrono::duration<double>(m_experiment.TotalDuration()).count(),
+          m_done.load(), m_good.load());
     }
   }
 
@@ -182,14 +184,16 @@
     return 1;
   }
   const Targets entries = MakeTargets(plan, "node:");
-  Targets direct;
+  std::vector<Targets> targets;
   for (const LoadClass& load : experiment.classes) {
-    if (load.direct) direct = MakeTargets(plan, "stub:" + load.service);
+    targets.push_back(MakeTargets(plan, load.direct
+                                            ? "stub:" + load.service
+                                            : "node:" + load.entry_service));
   }
   if (!WaitUntilReady(experiment, entries)) return 1;
   ResetRecords(plan);
 
-  Caller caller(experiment, entries, direct);
+  const Caller caller(experiment, std::move(targets));
   const std::vector<Arrival> arrivals = BuildArrivals(experiment);
   const TimePoint start = BootClock::now() + kLeadTime;
   std::vector<RequestResult> results;
@@ -269,7 +273,10 @@
 }  // namespace
 }  // namespace vanillatiller
 
-int main(int argc, char** argv) {
+int main(int argc, char** argv) try {
   absl::SetProgramUsageMessage("load generation and experiments");
   return vanillatiller::Main(absl::ParseCommandLine(argc, argv));
+} catch (const std::exception& error) {
+  std::cerr << "vtbench: " << error.what() << "\n";
+  return 1;
 }
--- a/Source/vtbench/report.cc
+++ b/Source/vtbench/report.cc
@@ -1,6 +1,7 @@
 #include "vtbench/report.h"
 
 #include <algorithm>
+#include <cmath>
 #include <map>
 
 #include "absl/strings/str_cat.h"
@@ -22,9 +23,9 @@
 
 double Quantile(std::vector<double> values, double q) {
   if (values.empty()) return 0;
-  const auto rank = static_cast<size_t>(q * (values.size() - 1) + 0.5);
+  const auto rank = std::lround(q * static_cast<double>(values.size() - 1));
   std::nth_element(values.begin(), values.begin() + rank, values.end());
-  return values[rank];
+  return values[static_cast<size_t>(rank)];
 }
 
 // Good and offered requests in one interval of time.
@@ -140,7 +141,9 @@
               {"classes", json::object()}};
   for (size_t i = 0; i < classes.size(); ++i) {
     if (!used[i]) continue;
-    out["classes"][experiment.classes[i].name] = classes[i].ToJson(seconds);
+    json& cell = out["classes"][experiment.classes[i].name];
+    cell = classes[i].ToJson(seconds);
+    cell["direct"] = experiment.classes[i].direct;
   }
   return out;
 }
@@ -238,6 +241,7 @@
 std::string FormatPhase(const std::string& policy,
                         const std::vector<const json*>& runs, size_t phase) {
   std::vector<const json*> all;
+  all.reserve(runs.size());
   for (const json* run : runs) all.push_back(&(*run)["phases"][phase]["all"]);
   const json& first = (*runs[0])["phases"][phase];
   const auto name = first["name"].get<std::string>();
@@ -310,6 +314,40 @@
     absl::StrAppend(&text, "  ", column.title, ": ",
                     spread.ToString(column.format), "\n");
   }
+  for (const json* run : runs) {
+    for (const json& example : (*run)["audit"]["examples"]) {
+      absl::StrAppend(&text, "    ", example.get<std::string>(), "\n");
+    }
+  }
+  return text;
+}
+
+// Latency of the classes that go through nodes less that of the class that
+// goes straight to the backend servers, in the same run.
+std::string FormatAddedTime(const std::vector<const json*>& runs,
+                            size_t phase) {
+  std::string text;
+  const json& first = (*runs[0])["phases"][phase];
+  for (const auto& [direct, direct_cell] : first["classes"].items()) {
+    if (!direct_cell.value("direct", false)) continue;
+    for (const auto& [through, unused] : first["classes"].items()) {
+      if (through == direct) continue;
+      absl::StrAppend(&text, "  added time, ms, ",
+                      first["name"].get<std::string>(), ", ", through, " less ",
+                      direct, ":");
+      for (const char* quantile : {"p50", "p90", "p99"}) {
+        Spread spread;
+        for (const json* run : runs) {
+          const json& classes = (*run)["phases"][phase]["classes"];
+          spread.values.push_back(
+              classes[through]["latency_ms"][quantile].get<double>() -
+              classes[direct]["latency_ms"][quantile].get<double>());
+        }
+        absl::StrAppend(&text, " ", quantile, " ", spread.ToString("%.2f"));
+      }
+      text += "\n";
+    }
+  }
   return text;
 }
 
@@ -381,7 +419,10 @@
     const std::vector<const json*> chosen = RunsOf(runs, policy);
     absl::StrAppend(&text, "\n", policy, ", ", chosen.size(), " round(s)\n");
     const size_t phases = (*chosen[0])["phases"].size();
-    for (size_t i = 0; i < phases; ++i) text += FormatRecovery(chosen, i);
+    for (size_t i = 0; i < phases; ++i) {
+      text += FormatAddedTime(chosen, i);
+      text += FormatRecovery(chosen, i);
+    }
     text += FormatGoodputRatios(chosen);
     text += FormatAudit(chosen);
   }
--- a/Source/vtstub/backend_server.cc
+++ b/Source/vtstub/backend_server.cc
@@ -108,7 +108,7 @@
 void BackendServer::InstallControls(httplib::Server* server) {
   using Request = httplib::Request;
   using Apply = std::function<void(const Request&)>;
-  const auto add = [server](const char* name, Apply apply) {
+  const auto add = [server](const char* name, const Apply& apply) {
     server->Post(absl::StrCat("/control/", name),
                  [apply](const Request& request, httplib::Response& response) {
                    apply(request);
--- a/Source/vtstub/main.cc
+++ b/Source/vtstub/main.cc
@@ -3,6 +3,7 @@
 #include <signal.h>
 #include <sys/resource.h>
 
+#include <exception>
 #include <fstream>
 #include <iostream>
 #include <map>
@@ -151,8 +152,11 @@
 }  // namespace
 }  // namespace vanillatiller
 
-int main(int argc, char** argv) {
+int main(int argc, char** argv) try {
   absl::SetProgramUsageMessage("stubs of backend servers and the platform");
   absl::ParseCommandLine(argc, argv);
   return vanillatiller::Main();
+} catch (const std::exception& error) {
+  std::cerr << "vtstub: " << error.what() << "\n";
+  return 1;
 }
--- a/Source/vtstub/platform_server.cc
+++ b/Source/vtstub/platform_server.cc
@@ -65,7 +65,7 @@
   using Request = httplib::Request;
   // Returns an error text, or an empty string.
   using Apply = std::function<std::string(const Request&)>;
-  const auto add = [this, server](const char* name, Apply apply) {
+  const auto add = [this, server](const char* name, const Apply& apply) {
     server->Post(
         absl::StrCat("/control/", name),
         [this, apply](const Request& request, httplib::Response& response) {
