--- a/Source/fleetconfig/parser.cc
+++ b/Source/fleetconfig/parser.cc
@@ -1,97 +1,122 @@
+#include "fleetconfig/canonical.h"
+#include "fleetconfig/config_check.h"
 #include "fleetconfig/fleet_config.h"
-#include "toml/toml.h"
+#include "fleetconfig/item_fields.h"
 
 namespace vanillatiller {
 namespace {
 
-constexpr int64_t kMaxCount = 1'000'000;
-constexpr int64_t kMaxTimeoutMs = 600'000;
-
-void ReadMethod(TomlReader& reader, const toml::table& table,
-                ServiceConfig* service) {
-  reader.CheckFields(table,
-                     {"name", "rank", "idempotent", "timeout_ms", "calls"});
-  MethodConfig method;
-  int64_t timeout_ms = method.timeout.count();
-  reader.ReadString(table, "name", &method.name);
-  reader.ReadString(table, "rank", &method.rank);
-  reader.ReadBool(table, "idempotent", &method.idempotent);
-  reader.ReadInteger(table, "timeout_ms", 1, kMaxTimeoutMs, &timeout_ms);
-  reader.ReadStrings(table, "calls", &method.calls);
-  method.timeout = std::chrono::milliseconds(timeout_ms);
-  service->methods.push_back(std::move(method));
-}
+// A value in the order of its text, with the places of its items.
+struct ParsedValue {
+  FleetConfig config;
+  ConfigPlaces places;
+};
 
-void ReadService(TomlReader& reader, const toml::table& table,
-                 FleetConfig* config) {
-  reader.CheckFields(table, {"name", "slots", "connections", "method"});
-  ServiceConfig service;
-  reader.ReadString(table, "name", &service.name);
-  reader.ReadInteger(table, "slots", 1, kMaxCount, &service.slots);
-  reader.ReadInteger(table, "connections", 1, kMaxCount, &service.connections);
-  reader.ForEach(table, "method", [&](const toml::table& method) {
-    ReadMethod(reader, method, &service);
+// Reads the items of one kind that have nothing but a name and fields.
+template <typename T>
+void ReadItems(TomlReader& reader, const toml::table& root, ItemKind kind,
+               std::vector<T>* items, std::vector<Place>* places) {
+  reader.ForEach(root, ItemKindName(kind), [&](const toml::table& table) {
+    reader.CheckFields(table, {"name"}, FieldNames(kind));
+    T& item = items->emplace_back();
+    reader.ReadString(table, "name", &item.name);
+    ReadFields(reader, table, &item);
+    places->push_back(PlaceOf(table));
   });
-  config->services.push_back(std::move(service));
 }
 
-void ReadTopology(TomlReader& reader, const toml::table& root,
-                  FleetConfig* config) {
-  reader.ForEach(root, "region", [&](const toml::table& table) {
-    reader.CheckFields(table, {"name"});
-    reader.ReadString(table, "name", &config->regions.emplace_back().name);
-  });
-  reader.ForEach(root, "failure_domain", [&](const toml::table& table) {
-    reader.CheckFields(table, {"name", "region"});
-    FailureDomainConfig& domain = config->failure_domains.emplace_back();
-    reader.ReadString(table, "name", &domain.name);
-    reader.ReadString(table, "region", &domain.region);
-  });
+void ReadLinks(TomlReader& reader, const toml::table& root,
+               ParsedValue* value) {
   reader.ForEach(root, "link", [&](const toml::table& table) {
-    reader.CheckFields(table, {"from", "to", "bytes_per_second"});
-    LinkConfig& link = config->links.emplace_back();
+    reader.CheckFields(table, {"from", "to"}, FieldNames(ItemKind::kLink));
+    LinkConfig& link = value->config.links.emplace_back();
     reader.ReadString(table, "from", &link.from);
     reader.ReadString(table, "to", &link.to);
-    reader.ReadInteger(table, "bytes_per_second", 1, INT64_MAX,
-                       &link.bytes_per_second);
+    ReadFields(reader, table, &link);
+    value->places.links.push_back(PlaceOf(table));
   });
 }
 
-void ReadClasses(TomlReader& reader, const toml::table& root,
-                 FleetConfig* config) {
-  reader.ForEach(root, "rank", [&](const toml::table& table) {
-    reader.CheckFields(table, {"name", "order", "protected"});
-    RankConfig& rank = config->ranks.emplace_back();
-    reader.ReadString(table, "name", &rank.name);
-    reader.ReadInteger(table, "order", 0, 255, &rank.order);
-    reader.ReadBool(table, "protected", &rank.is_protected);
-  });
-  reader.ForEach(root, "tenant", [&](const toml::table& table) {
-    reader.CheckFields(table, {"name", "weight"});
-    TenantConfig& tenant = config->tenants.emplace_back();
-    reader.ReadString(table, "name", &tenant.name);
-    reader.ReadInteger(table, "weight", 1, kMaxCount, &tenant.weight);
+void ReadMethod(TomlReader& reader, const toml::table& table,
+                ServiceConfig* service, ServicePlaces* places) {
+  reader.CheckFields(table, {"name"}, FieldNames(ItemKind::kMethod));
+  MethodConfig& method = service->methods.emplace_back();
+  MethodPlaces& method_places = places->methods.emplace_back();
+  reader.ReadString(table, "name", &method.name);
+  ReadFields(reader, table, &method, &method_places.calls);
+  method_places.method = PlaceOf(table);
+}
+
+void ReadServices(TomlReader& reader, const toml::table& root,
+                  ParsedValue* value) {
+  reader.ForEach(root, "service", [&](const toml::table& table) {
+    reader.CheckFields(table, {"name", "method"},
+                       FieldNames(ItemKind::kService));
+    ServiceConfig& service = value->config.services.emplace_back();
+    ServicePlaces& places = value->places.services.emplace_back();
+    ServiceFields fields;
+    reader.ReadString(table, "name", &service.name);
+    ReadFields(reader, table, &fields);
+    service.slots = fields.slots;
+    service.connections = fields.connections;
+    places.service = PlaceOf(table);
+    reader.ForEach(table, "method", [&](const toml::table& method) {
+      ReadMethod(reader, method, &service, &places);
+    });
   });
 }
 
-void ReadRoot(TomlReader& reader, const toml::table& root,
-              FleetConfig* config) {
+void ReadChain(TomlReader& reader, const toml::table& root,
+               FleetConfig* config) {
+  const toml::node* node = root.get("chain");
+  if (node == nullptr) return;
+  const toml::table* table = node->as_table();
+  if (table == nullptr) {
+    reader.Report(node->source(), "field \"chain\": expected a table");
+    return;
+  }
+  reader.CheckFields(*table, {}, FieldNames(ItemKind::kChain));
+  ReadFields(reader, *table, &config->chain);
+}
+
+void ReadRoot(TomlReader& reader, const toml::table& root, ParsedValue* value) {
+  FleetConfig& config = value->config;
+  ConfigPlaces& places = value->places;
   reader.CheckFields(root, {"version", "chain", "rank", "tenant", "region",
                             "failure_domain", "link", "service"});
   if (reader.Require(root, "version") != nullptr) {
-    reader.ReadInteger(root, "version", 1, INT64_MAX, &config->version);
+    reader.ReadInteger(root, "version", 1, INT64_MAX, &config.version);
   }
-  if (const toml::table* chain = root["chain"].as_table()) {
-    reader.CheckFields(*chain, {"extra_attempts", "max_depth"});
-    reader.ReadInteger(*chain, "extra_attempts", 0, 1000,
-                       &config->chain.extra_attempts);
-    reader.ReadInteger(*chain, "max_depth", 1, 64, &config->chain.max_depth);
-  }
-  ReadClasses(reader, root, config);
-  ReadTopology(reader, root, config);
-  reader.ForEach(root, "service", [&](const toml::table& table) {
-    ReadService(reader, table, config);
+  ReadChain(reader, root, &config);
+  ReadItems(reader, root, ItemKind::kRank, &config.ranks, &places.ranks);
+  ReadItems(reader, root, ItemKind::kTenant, &config.tenants, &places.tenants);
+  ReadItems(reader, root, ItemKind::kRegion, &config.regions, &places.regions);
+  ReadItems(reader, root, ItemKind::kFailureDomain, &config.failure_domains,
+            &places.failure_domains);
+  ReadLinks(reader, root, value);
+  ReadServices(reader, root, value);
+}
+
+std::optional<FleetConfig> ReadValue(std::string_view text,
+                                     std::string_view source, bool check,
+                                     Findings* findings) {
+  Findings found;
+  TomlReader reader(source, &found);
+  ParsedValue value;
+  bool is_toml = false;
+  ReadText(reader, text, source, [&](const toml::table& root) {
+    ReadRoot(reader, root, &value);
+    is_toml = true;
   });
+  if (check && is_toml) {
+    const Findings faults =
+        CheckFleetConfig(value.config, source, &value.places);
+    found.insert(found.end(), faults.begin(), faults.end());
+  }
+  findings->insert(findings->end(), found.begin(), found.end());
+  if (!found.empty()) return std::nullopt;
+  Canonicalize(&value.config);
+  return std::move(value.config);
 }
 
 }  // namespace
@@ -99,17 +124,13 @@
 std::optional<FleetConfig> ParseFleetConfig(std::string_view text,
                                             std::string_view source,
                                             Findings* findings) {
-  const size_t findings_before = findings->size();
-  TomlReader reader(source, findings);
-  FleetConfig config;
-  try {
-    const toml::table root = toml::parse(text, source);
-    ReadRoot(reader, root, &config);
-  } catch (const toml::parse_error& error) {
-    reader.Report(error.source(), std::string(error.description()));
-  }
-  if (findings->size() != findings_before) return std::nullopt;
-  return config;
+  return ReadValue(text, source, false, findings);
+}
+
+std::optional<FleetConfig> LoadFleetConfig(std::string_view text,
+                                           std::string_view source,
+                                           Findings* findings) {
+  return ReadValue(text, source, true, findings);
 }
 
 }  // namespace vanillatiller
--- a/Source/node/fleet_config_validator.cc
+++ b/Source/node/fleet_config_validator.cc
@@ -8,7 +8,8 @@
     std::string_view text, Reason* reason) const {
   Findings findings;
   const auto config = ParseFleetConfig(text, "configuration", &findings);
-  if (!config) {
+  if (config) findings = CheckFleetConfig(*config, "configuration", nullptr);
+  if (!config || !findings.empty()) {
     *reason = {RefusalCode::kBadRequest, FormatFindings(findings)};
     return std::nullopt;
   }
@@ -16,7 +17,7 @@
     *reason = {RefusalCode::kBadRequest, "the version is 0"};
     return std::nullopt;
   }
-  return ValidatedValue{config->version, std::string(text)};
+  return ValidatedValue{config->version, FormatFleetConfig(*config)};
 }
 
 }  // namespace vanillatiller
--- a/Source/node/fleet_config_validator.h
+++ b/Source/node/fleet_config_validator.h
@@ -9,26 +9,14 @@
 
 namespace vanillatiller {
 
-// Accepts what ParseFleetConfig accepts, with a version above 0.
+// Accepts values that ParseFleetConfig and CheckFleetConfig accept, with a
+// version above 0, and gives their canonical text.
 class FleetConfigValidator final : public ConfigValidator {
  public:
   std::optional<ValidatedValue> Validate(std::string_view text,
                                          Reason* reason) const override;
 };
 
-// Sends full values only, until a codec for release notes is passed in.
-class FullValueCodec final : public DeltaCodec {
- public:
-  std::optional<std::string> Diff(std::string_view /*base*/,
-                                  std::string_view /*value*/) const override {
-    return std::nullopt;
-  }
-  std::optional<std::string> Apply(std::string_view /*base*/,
-                                   std::string_view /*delta*/) const override {
-    return std::nullopt;
-  }
-};
-
 }  // namespace vanillatiller
 
 #endif  // VANILLATILLER_SOURCE_NODE_FLEET_CONFIG_VALIDATOR_H_
--- a/Source/node/node.cc
+++ b/Source/node/node.cc
@@ -7,10 +7,13 @@
 
 #include "node/fleet_config_validator.h"
 #include "node/log.h"
+#include "node/note_codec.h"
 
 namespace vanillatiller {
 namespace {
 
+constexpr std::chrono::milliseconds kAdmissionTick{10};
+constexpr std::chrono::milliseconds kThresholdTick{1000};
 constexpr std::chrono::milliseconds kDrainPoll{20};
 constexpr std::chrono::seconds kServerShutdownTime{2};
 
@@ -33,12 +36,16 @@
       m_entry({m_settings, m_view, m_ids, m_active_calls, m_caller}),
       m_control({m_settings, m_view, m_incarnation,
                  grpc::InsecureChannelCredentials(),
-                 std::make_shared<FullValueCodec>(),
+                 std::make_shared<NoteCodec>(),
                  std::make_shared<FleetConfigValidator>()}),
       m_peer_service(m_settings, m_callee, m_control),
       m_public_front(m_settings.public_listener, m_settings),
       m_local_front(m_settings.local_listener, m_settings),
-      m_admin_front(m_settings.admin_listener, m_settings) {
+      m_admin_front(m_settings.admin_listener, m_settings),
+      m_admission_ticker(kAdmissionTick,
+                         [this](TimePoint now) { m_callee.OnTick(now); }),
+      m_threshold_ticker(kThresholdTick,
+                         [this](TimePoint now) { m_entry.OnTick(now); }) {
   m_public_front.ServeCalls(m_entry, /*is_local=*/false);
   m_local_front.ServeCalls(m_entry, /*is_local=*/true);
   m_admin_front.ServeText("/status", "application/json",
@@ -74,6 +81,8 @@
     return false;
   }
   if (!m_control.Start(reason)) return false;
+  m_admission_ticker.Start();
+  m_threshold_ticker.Start();
   m_router.Start();
   Log(LogLevel::kInfo, "started",
       {{"service", m_settings.service},
@@ -115,6 +124,8 @@
       {"config_version", config ? config->version : 0},
       {"members", members ? members->size() : 0},
       {"in_flight", load.in_flight},
+      {"queued", load.queued},
+      {"concurrency_limit", load.concurrency_limit},
       {"leaving", load.leaving},
       {"config_confirmed", control.confirmed},
       {"config_conflict", control.conflict.has_value()},
