Membership: Send updates to the neighbours in turn

Cause: at 204 nodes a killed node stayed in some tables for 3.6 s. Gossip drew its targets independently, so a node that few others have as a neighbour missed an update now and then and got it only when tables were compared. Change: an update goes to the neighbours in turn; probes and answers carry updates without counting.

--- a/Source/membership/membership.cc
+++ b/Source/membership/membership.cc
@@ -151,7 +151,7 @@
   RefreshRing(now, rng);
   ChooseTargets(now, rng);
   SendDueProbes(now, &actions);
-  Gossip(now, rng, &actions);
+  Gossip(now, &actions);
   Relay(now, rng, &actions);
   Reconnect(now, rng, &actions);
   Synchronize(now, rng, &actions);
@@ -288,11 +288,18 @@
 
 // --- Messages --------------------------------------------------------------
 
-ExchangeMessage Membership::MakeMessage() {
+// Probes and answers carry the pending updates too, without counting: whom they
+// reach depends on the ring, and gossip is to reach every neighbour.
+ExchangeMessage Membership::MakeMessage() const {
+  return MakeMessage(m_updates.Peek(m_policy.max_updates));
+}
+
+ExchangeMessage Membership::MakeMessage(
+    const std::vector<std::string>& names) const {
   ExchangeMessage message;
   message.from_vm = m_self_vm;
   message.member_digest = m_table.Digest();
-  for (const std::string& vm : m_updates.Take(m_policy.max_updates)) {
+  for (const std::string& vm : names) {
     const Member* entry = m_table.Find(vm);
     if (entry != nullptr) message.updates.push_back(*entry);
   }
@@ -661,21 +668,32 @@
   }
 }
 
-void Membership::Gossip(TimePoint now, Generator& rng,
-                        MembershipActions* actions) {
+void Membership::Gossip(TimePoint now, MembershipActions* actions) {
   if (now < m_next_gossip) return;
   if (m_updates.IsEmpty() && m_gossip_rounds == 0) return;
   m_next_gossip = now + m_policy.gossip_interval;
   if (m_gossip_rounds > 0) --m_gossip_rounds;
-  const auto names = DrawNames(m_neighbours, m_policy.gossip_fanout, rng);
-  for (const std::string& name : names) {
-    const Member* peer = m_table.Find(name);
+  const size_t count =
+      std::min<size_t>(m_policy.gossip_fanout, m_neighbours.size());
+  for (size_t i = 0; i < count; ++i) {
+    const Member* peer = m_table.Find(NextNeighbour());
     if (peer == nullptr) continue;
     ++m_counters.gossip_messages;
-    actions->emplace_back(MakeProbe(*peer));
+    SendProbe request = MakeProbe(*peer);
+    request.message = MakeMessage(m_updates.Take(m_policy.max_updates));
+    AttachEntry(peer->vm, &request.message);
+    actions->emplace_back(std::move(request));
   }
 }
 
+// Goes through the neighbours in turn, so that an update sent as often as there
+// are neighbours reaches all of them. With independent draws a node that few
+// others have as a neighbour is missed now and then.
+const std::string& Membership::NextNeighbour() {
+  m_next_neighbour = (m_next_neighbour + 1) % m_neighbours.size();
+  return m_neighbours[m_next_neighbour];
+}
+
 void Membership::Relay(TimePoint now, Generator& rng,
                        MembershipActions* actions) {
   if (!IsRelay() || m_remote_updates.empty()) return;
@@ -701,13 +719,8 @@
   request.vm = peer->vm;
   request.address = peer->peer_address;
   request.timeout = m_policy.relay_interval;
-  request.message.from_vm = m_self_vm;
-  request.message.member_digest = m_table.Digest();
-  auto& queue = m_remote_updates[region];
-  for (const std::string& vm : queue.Take(m_policy.max_updates)) {
-    const Member* entry = m_table.Find(vm);
-    if (entry != nullptr) request.message.updates.push_back(*entry);
-  }
+  request.message =
+      MakeMessage(m_remote_updates[region].Take(m_policy.max_updates));
   AttachEntry(peer->vm, &request.message);
   ++m_counters.relay_messages;
   actions->emplace_back(std::move(request));
--- a/Source/membership/membership.h
+++ b/Source/membership/membership.h
@@ -203,7 +203,8 @@
   void AddListed(const Member& listed, bool apply_leaving, TimePoint now);
 
   // Messages.
-  ExchangeMessage MakeMessage();
+  ExchangeMessage MakeMessage() const;
+  ExchangeMessage MakeMessage(const std::vector<std::string>& names) const;
   void AttachEntry(std::string_view vm, ExchangeMessage* message) const;
   SendProbe MakeProbe(const Member& target);
   void CompareTables(const std::string& vm, TimePoint now,
@@ -234,7 +235,8 @@
   void ChooseNeighbours();
   void ChooseTargets(TimePoint now, Generator& rng);
   void SendDueProbes(TimePoint now, MembershipActions* actions);
-  void Gossip(TimePoint now, Generator& rng, MembershipActions* actions);
+  const std::string& NextNeighbour();
+  void Gossip(TimePoint now, MembershipActions* actions);
   void Relay(TimePoint now, Generator& rng, MembershipActions* actions);
   void Reconnect(TimePoint now, Generator& rng, MembershipActions* actions);
   void Synchronize(TimePoint now, Generator& rng, MembershipActions* actions);
@@ -252,6 +254,7 @@
   ProbeRing m_ring;
   std::vector<Target> m_targets;
   std::vector<std::string> m_neighbours;
+  size_t m_next_neighbour = 0;
   // Relays of every region.
   std::map<std::string, std::vector<std::string>> m_relays;
   std::map<uint64_t, Probe> m_probes;
--- a/Source/membership/update_queue.cc
+++ b/Source/membership/update_queue.cc
@@ -24,4 +24,11 @@
   return names;
 }
 
+std::vector<std::string> UpdateQueue::Peek(size_t limit) const {
+  std::vector<std::string> names;
+  const size_t count = std::min(limit, m_items.size());
+  for (size_t i = 0; i < count; ++i) names.push_back(m_items[i].vm);
+  return names;
+}
+
 }  // namespace vanillatiller
--- a/Source/membership/update_queue.h
+++ b/Source/membership/update_queue.h
@@ -19,6 +19,9 @@
   // At most `limit` names; each counts as sent once.
   std::vector<std::string> Take(size_t limit);
 
+  // The same names as Take would give, without counting.
+  std::vector<std::string> Peek(size_t limit) const;
+
   bool IsEmpty() const { return m_items.empty(); }
 
  private:
