--- a/Source/node/node.cc
+++ b/Source/node/node.cc
@@ -9,7 +9,7 @@
 
 #include "node/fleet_config_validator.h"
 #include "node/log.h"
-#include "node/release_note_codec.h"
+#include "node/note_codec.h"
 
 namespace vanillatiller {
 namespace {
@@ -53,7 +53,7 @@
                m_incarnation}),
       m_control({m_settings, m_view, m_incarnation,
                  MakeChannelCredentials(m_settings.certificates),
-                 std::make_shared<ReleaseNoteCodec>(),
+                 std::make_shared<NoteCodec>(),
                  std::make_shared<FleetConfigValidator>()}),
       m_report({m_settings, m_view, m_callee, m_entry, m_control, *m_metrics,
                 m_incarnation}),
