--- a/Source/node/callee.h
+++ b/Source/node/callee.h
@@ -10,6 +10,7 @@
 #include <unordered_map>
 
 #include "base/base.h"
+#include "metrics/metrics.h"
 #include "node/active_calls.h"
 #include "node/admission_gate.h"
 #include "node/backend_client.h"
@@ -34,6 +35,7 @@
     IdSource& ids;
     ActiveCalls& active_calls;
     Incarnation incarnation;
+    MetricsRegistry& metrics;
   };
 
   explicit Callee(const Parts& parts);
@@ -47,7 +49,10 @@
 
   // Refuses new calls as not run from now on.
   void StartDrain();
-  bool IsDraining() const { return m_draining; }
+  // Refuses new calls as not run while the backend server is leaving. Unlike a
+  // drain this can end, since the news of it may be false.
+  void SetBackendLeaving(bool is_leaving) { m_backend_leaving = is_leaving; }
+  bool IsLeaving() const { return m_draining || m_backend_leaving; }
 
   // Waits until no call is in flight. False if `timeout` passes first.
   bool WaitUntilIdle(std::chrono::milliseconds timeout);
@@ -92,8 +97,10 @@
   IdSource& m_ids;
   ActiveCalls& m_active_calls;
   const Incarnation m_incarnation;
+  MetricsRegistry& m_metrics;
   BackendClient m_backend;
   std::atomic<bool> m_draining{false};
+  std::atomic<bool> m_backend_leaving{false};
   std::atomic<bool> m_is_backend_unreachable{false};
   AdmissionGate m_gate;
   // Thresholds of the services that calls of this service depend on. Many
