--- a/Source/admission/threshold_controller.h
+++ b/Source/admission/threshold_controller.h
@@ -7,6 +7,7 @@
 #include "admission/admission_threshold.h"
 #include "admission/flow_table.h"
 #include "admission/share_planner.h"
+#include "admission/work_queue.h"
 #include "base/base.h"
 
 namespace vanillatiller {
@@ -41,6 +42,9 @@
   // Counts a call towards the demand of its flow.
   void OnArrival(Flow* flow, uint32_t shed_hash);
 
+  // Notes what waits now, at every tick.
+  static void OnTick(const WorkQueue& queue, FlowTable* flows);
+
   void OnWindow(const WindowReport& report, FlowTable* flows);
 
   // Thresholds are in force only while there is overload.
@@ -52,7 +56,12 @@
   void MeasureDemand(const WindowReport& report, FlowTable* flows);
   bool HasStandingQueue(const WindowReport& report,
                         const FlowTable& flows) const;
-  void CorrectCapacity(const WindowReport& report, bool has_standing_queue);
+  void CorrectCapacity(const WindowReport& report, bool has_standing_queue,
+                       const FlowTable& flows);
+  // Factor of the estimated slots, at most 1: where slots stay free, the
+  // service times or demands are overestimated, as after a slow spell.
+  static double DemandCorrection(const WindowReport& report,
+                                 const FlowTable& flows);
   void SetShares(const WindowReport& report, FlowTable* flows);
   // Moves a share towards its target; gives the share that is in force.
   double MoveShare(double share, double target, double utilization) const;
@@ -61,6 +70,8 @@
   bool m_is_overloaded = false;
   // Part of the limit that is given out.
   double m_capacity_factor = 1;
+  // Slots kept back to drain the standing queue.
+  double m_backlog_slots = 0;
   // Demands of the present window; kept to save allocations.
   std::vector<ShareDemand> m_demands;
   std::vector<FlowIndex> m_order;
--- a/Source/metrics/registry.cc
+++ b/Source/metrics/registry.cc
@@ -49,6 +49,15 @@
   LatencyAccumulator probe_round_trip;
 };
 
+// Reasons whose first refuser tells where overload begins. A deadline that
+// cannot be met is refused by the service whose queue is too long.
+bool IsOverloadSign(RefusalCode code) {
+  return code == RefusalCode::kOverload ||
+         code == RefusalCode::kBelowThreshold ||
+         code == RefusalCode::kBackendRefused ||
+         code == RefusalCode::kDeadlineExceeded;
+}
+
 void CountRefuser(std::vector<RefuserCount>* refusers,
                   std::string_view service) {
   const auto by_name = [&](std::string_view name) {
@@ -144,7 +153,7 @@
   if (sample.refusal != RefusalCode::kNone) {
     ++counts.refusals[RefusalIndex(sample.refusal)];
   }
-  if (!sample.refused_by.empty()) {
+  if (!sample.refused_by.empty() && IsOverloadSign(sample.refusal)) {
     CountRefuser(&counts.refusers, sample.refused_by);
   }
   const uint64_t round_trip_us = ToMicroseconds(sample.round_trip);
@@ -154,6 +163,17 @@
   counts.backend_us += ToMicroseconds(sample.backend_time);
 }
 
+void MetricsRegistry::RecordEarlyRefusal(std::string_view caller,
+                                         std::string_view callee, uint32_t rank,
+                                         RefusalCode code) {
+  EdgeSeries& series = Tables::FindOrOther(
+      m_tables->edges, {caller, callee, rank}, &m_overflowed);
+  const std::lock_guard lock(series.mutex);
+  ++series.counts.calls;
+  ++series.counts.outcomes[OutcomeIndex(Outcome::kNotRun)];
+  ++series.counts.refusals[RefusalIndex(code)];
+}
+
 void MetricsRegistry::RecordConnectFailure(std::string_view caller,
                                            std::string_view callee) {
   ConnectionSeries& series = Tables::FindOrOther(
@@ -238,7 +258,7 @@
     return request.latency.count == 0;
   });
   std::erase_if(snapshot.edges, [](const EdgeSnapshot& edge) {
-    return edge.attempts == 0 && edge.in_flight == 0;
+    return edge.attempts == 0 && edge.calls == 0 && edge.in_flight == 0;
   });
   std::erase_if(snapshot.connections, [](const ConnectionSnapshot& connection) {
     return connection.connect_failures == 0 &&
--- a/Source/node/callee.cc
+++ b/Source/node/callee.cc
@@ -35,6 +35,7 @@
       m_ids(parts.ids),
       m_active_calls(parts.active_calls),
       m_incarnation(parts.incarnation),
+      m_metrics(parts.metrics),
       m_backend(parts.settings.backend, parts.settings.max_body_bytes),
       m_gate(parts.settings, parts.view, BootClock::now()),
       m_records(parts.incarnation),
@@ -49,6 +50,7 @@
   if (reason.code != RefusalCode::kNone) {
     return Refuse(Outcome::kNotRun, reason, unspent, done);
   }
+  if (IsDoomed(context, now)) return RefuseDoomed(context, done, now);
 
   auto pending = std::make_shared<PendingCall>();
   pending->context = std::move(context);
@@ -70,6 +72,8 @@
 }
 
 void Callee::Admit(const std::shared_ptr<PendingCall>& pending, TimePoint now) {
+  const AdmissionState state = m_gate.State();
+  m_metrics.RecordOffer(state.in_flight >= state.limit);
   pending->work = m_gate.NextId();
   m_gate.Offer(pending->work, pending->context,
                {.dispatch =
@@ -83,6 +87,24 @@
                now);
 }
 
+bool Callee::IsDoomed(const CallContext& context, TimePoint now) {
+  if (m_settings.admission != AdmissionPolicy::kAdaptive) return false;
+  if (context.depth > 0) return false;
+  return m_downstream.Check(context, now) == ThresholdTable::Decision::kRefuse;
+}
+
+void Callee::RefuseDoomed(const CallContext& context, const Done& done,
+                          TimePoint now) {
+  CallAnswer answer = NotRun(RefusalCode::kBelowThreshold,
+                             "a service that this call needs is overloaded");
+  answer.refused_by = m_settings.service;
+  answer.load = load();
+  answer.load.threshold = m_downstream.Get(context, now);
+  answer.unspent_attempts = context.extra_attempts;
+  answer.attempts = 1;
+  done(std::move(answer));
+}
+
 void Callee::EndRefused(PendingCall& pending, const struct Refuse& refuse) {
   CallAnswer answer = NotRun(refuse.code, RefusalText(refuse.code));
   answer.attempts = 1;
@@ -128,7 +150,7 @@
   load.in_flight = state.in_flight;
   load.queued = state.queued;
   load.concurrency_limit = state.limit;
-  load.leaving = m_draining;
+  load.leaving = IsLeaving();
   load.incarnation = m_incarnation;
   load.clock = BootClock::now();
   return load;
@@ -136,7 +158,7 @@
 
 Reason Callee::CheckAcceptable(const CallContext& context,
                                TimePoint now) const {
-  if (m_draining) return {RefusalCode::kLeaving, "node is leaving"};
+  if (IsLeaving()) return {RefusalCode::kLeaving, "node is leaving"};
   if (context.service != m_settings.service) {
     return {RefusalCode::kUnknownService,
             "this node serves \"" + m_settings.service + "\", not \"" +
@@ -244,8 +266,9 @@
   answer.load = load();
   AdmissionThreshold threshold = m_gate.ThresholdFor(pending.context);
   if (pending.active) {
-    threshold = AdmissionThreshold::Stricter(
-        threshold, pending.active->downstream_threshold());
+    const auto below = pending.active->downstream_threshold();
+    m_downstream.Update(pending.context, below.Packed(), BootClock::now());
+    threshold = AdmissionThreshold::Stricter(threshold, below);
   }
   answer.load.threshold = threshold.Packed();
   // Before the answer leaves, so that a fence after its loss finds it.
--- a/Source/node/callee.h
+++ b/Source/node/callee.h
@@ -11,6 +11,7 @@
 #include <unordered_map>
 
 #include "base/base.h"
+#include "metrics/metrics.h"
 #include "node/active_calls.h"
 #include "node/admission_gate.h"
 #include "node/backend_client.h"
@@ -19,6 +20,7 @@
 #include "node/fleet_view.h"
 #include "node/id_source.h"
 #include "node/settings.h"
+#include "node/threshold_guard.h"
 #include "node/worker_pool.h"
 
 namespace vanillatiller {
@@ -35,6 +37,7 @@
     IdSource& ids;
     ActiveCalls& active_calls;
     Incarnation incarnation;
+    MetricsRegistry& metrics;
   };
 
   explicit Callee(const Parts& parts);
@@ -54,11 +57,16 @@
 
   // Refuses new calls as not run from now on.
   void StartDrain();
-  bool IsDraining() const { return m_draining; }
+  // Refuses new calls as not run while the backend server is leaving. Unlike a
+  // drain this can end, since the news of it may be false.
+  void SetBackendLeaving(bool is_leaving) { m_backend_leaving = is_leaving; }
+  bool IsLeaving() const { return m_draining || m_backend_leaving; }
 
   // Waits until no call is in flight. False if `timeout` passes first.
   bool WaitUntilIdle(std::chrono::milliseconds timeout);
 
+  // To be called about once a second.
+  void ExpireThresholds(TimePoint now) { m_downstream.Expire(now); }
   // To be called every 5 to 20 ms.
   void OnTick(TimePoint now) { m_gate.OnTick(now); }
 
@@ -85,6 +93,10 @@
               const Done& done) const;
   // Has the gate decide over a call that was entered in m_pending.
   void Admit(const std::shared_ptr<PendingCall>& pending, TimePoint now);
+  // True if a service below would refuse the call.
+  bool IsDoomed(const CallContext& context, TimePoint now);
+  void RefuseDoomed(const CallContext& context, const Done& done,
+                    TimePoint now);
   void EndRefused(PendingCall& pending, const struct Refuse& refuse);
   void Run(const std::shared_ptr<PendingCall>& pending);
   // Last checks before the dispatch; nullopt if the call may run.
@@ -100,11 +112,17 @@
   IdSource& m_ids;
   ActiveCalls& m_active_calls;
   const Incarnation m_incarnation;
+  MetricsRegistry& m_metrics;
   BackendClient m_backend;
   std::atomic<bool> m_draining{false};
+  std::atomic<bool> m_backend_leaving{false};
   std::atomic<bool> m_is_backend_unreachable{false};
   AdmissionGate m_gate;
   CallRecords m_records;
+  // Thresholds of the services that calls of this service depend on. Many
+  // entry nodes send probes; the callees refuse most of them before they cost
+  // work.
+  ThresholdGuard m_downstream;
 
   mutable std::mutex m_mutex;
   std::condition_variable m_idle;
--- a/Source/node/caller.cc
+++ b/Source/node/caller.cc
@@ -33,6 +33,13 @@
   return UnknownOutcome(RefusalCode::kConnectionLost, text);
 }
 
+// gRPC has one status code for a connection that could not be opened and for
+// one that was lost; only the text tells them apart.
+bool IsConnectFailure(const grpc::Status& status) {
+  return status.error_code() == grpc::StatusCode::UNAVAILABLE &&
+         status.error_message().find("failed to connect") != std::string::npos;
+}
+
 RetrySettings MakeRetrySettings(const NodeSettings& settings) {
   RetrySettings result;
   if (settings.retries == RetryPolicyKind::kPlain) {
@@ -58,6 +65,7 @@
       m_channels(parts.channels),
       m_router(parts.router),
       m_callee(parts.callee),
+      m_metrics(parts.metrics),
       m_policy(MakeRetrySettings(parts.settings)) {}
 
 CallAnswer Caller::Call(const OutgoingCall& call, Cancellation& cancellation,
@@ -100,11 +108,33 @@
   attempt.context.callee_incarnation = attempt.choice.member.incarnation;
   attempt.context.extra_attempts = progress.share.Count();
   progress.tried.push_back(attempt.choice.member.vm);
+  RecordedAttempt(call, cancellation, progress.tried.size() == 1, attempt);
+}
+
+void Caller::RecordedAttempt(const OutgoingCall& call,
+                             Cancellation& cancellation, bool is_first,
+                             Attempt& attempt) {
+  const TimePoint start = BootClock::now();
+  AttemptSample sample;
+  // A caller's request does not come from this node's own service.
+  if (call.context.depth != 0) sample.caller = m_settings.service;
+  sample.callee = call.context.service;
+  sample.rank = call.context.rank;
+  sample.first = is_first;
+  m_metrics.StartAttempt(sample.caller, sample.callee, sample.rank);
   if (attempt.choice.member.vm == m_settings.vm) {
     AttemptLocal(call.body, cancellation, attempt);
   } else {
     AttemptRemote(call.body, cancellation, attempt);
   }
+  const CallAnswer& answer = attempt.answer;
+  sample.outcome = answer.outcome;
+  sample.refusal = answer.reason.code;
+  sample.refused_by = answer.refused_by;
+  sample.round_trip = BootClock::now() - start;
+  sample.queue_wait = answer.queue_wait;
+  sample.backend_time = answer.backend_time;
+  m_metrics.EndAttempt(sample);
 }
 
 RetryDecision Caller::DecideNext(Cancellation& cancellation, Progress& progress,
@@ -231,6 +261,10 @@
   const grpc::Status status = promise.get_future().get();
   cancellation.Remove(key);
   if (!status.ok()) {
+    if (IsConnectFailure(status)) {
+      m_metrics.RecordConnectFailure(m_settings.service,
+                                     outgoing.choice.member.service);
+    }
     *answer = FromStatus(status, outgoing.is_lost);
     return false;
   }
--- a/Source/node/caller.h
+++ b/Source/node/caller.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "base/base.h"
+#include "metrics/metrics.h"
 #include "node/call_answer.h"
 #include "node/callee.h"
 #include "node/cancellation.h"
@@ -46,6 +47,7 @@
     PeerRouter& router;
     // Serves attempts whose chosen node is this one.
     Callee& callee;
+    MetricsRegistry& metrics;
   };
 
   explicit Caller(const Parts& parts);
@@ -86,6 +88,9 @@
 
   void MakeAttempt(const OutgoingCall& call, Cancellation& cancellation,
                    Progress& progress, Attempt& attempt);
+  // Makes one attempt and records it in the metrics of its edge.
+  void RecordedAttempt(const OutgoingCall& call, Cancellation& cancellation,
+                       bool is_first, Attempt& attempt);
   // What follows the attempt, after fencing it if need be.
   RetryDecision DecideNext(Cancellation& cancellation, Progress& progress,
                            Attempt& attempt);
@@ -120,6 +125,7 @@
   PeerChannels& m_channels;
   PeerRouter& m_router;
   Callee& m_callee;
+  MetricsRegistry& m_metrics;
   const RetryPolicy m_policy;
   PeerClocks m_clocks;
   EdgeBudgets m_edges;
--- a/Source/node/entry.cc
+++ b/Source/node/entry.cc
@@ -29,7 +29,8 @@
       m_ids(parts.ids),
       m_active_calls(parts.active_calls),
       m_caller(parts.caller),
-      m_tickets(parts.settings.peer_listener.ToString(), parts.incarnation) {}
+      m_tickets(parts.settings.peer_listener.ToString(), parts.incarnation),
+      m_metrics(parts.metrics) {}
 
 CallAnswer Entry::Handle(EntryRequest request, TimePoint now) {
   // The filters after CheckTicket refuse in the name of the issuer, so that
@@ -48,6 +49,7 @@
   }
   FinishTicket(exchange);
   if (is_outside) --m_in_flight;
+  Record(exchange, BootClock::now() - now);
   return std::move(exchange.answer);
 }
 
@@ -223,6 +225,9 @@
                            "service \"" + exchange.context.service +
                                "\" or one below it is overloaded");
   exchange.answer.refused_by = exchange.context.service;
+  m_metrics.RecordEarlyRefusal("", exchange.context.service,
+                               exchange.context.rank,
+                               RefusalCode::kBelowThreshold);
   return Step::kAnswered;
 }
 
@@ -257,6 +262,22 @@
   return Step::kAnswered;
 }
 
+void Entry::Record(const Exchange& exchange, Duration latency) {
+  const CallContext& context = exchange.context;
+  const CallAnswer& answer = exchange.answer;
+  RequestSample sample;
+  // Names in the context were found in the configuration.
+  sample.tenant = context.tenant;
+  sample.service = context.service;
+  sample.rank = context.rank;
+  sample.outcome = answer.outcome;
+  sample.refusal = answer.reason.code;
+  sample.latency = latency;
+  sample.queue_wait = answer.queue_wait;
+  sample.added = latency - answer.queue_wait - answer.backend_time;
+  m_metrics.RecordRequest(sample);
+}
+
 Entry::Step Entry::Refuse(Exchange& exchange, RefusalCode code,
                           std::string text) {
   exchange.answer = NotRun(code, std::move(text));
--- a/Source/node/entry.h
+++ b/Source/node/entry.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "base/base.h"
+#include "metrics/metrics.h"
 #include "node/active_calls.h"
 #include "node/call_answer.h"
 #include "node/caller.h"
@@ -45,6 +46,7 @@
     IdSource& ids;
     ActiveCalls& active_calls;
     Caller& caller;
+    MetricsRegistry& metrics;
     Incarnation incarnation;
   };
 
@@ -92,6 +94,7 @@
   // Keeps the answer for repeats and gives the caller a fresh ticket.
   void FinishTicket(Exchange& exchange);
 
+  void Record(const Exchange& exchange, Duration latency);
   Step Refuse(Exchange& exchange, RefusalCode code, std::string text);
 
   const NodeSettings& m_settings;
@@ -101,6 +104,7 @@
   Caller& m_caller;
   TicketGate m_tickets;
   ThresholdGuard m_thresholds;
+  MetricsRegistry& m_metrics;
   std::atomic<bool> m_draining{false};
   std::atomic<uint32_t> m_in_flight{0};
 };
--- a/Source/node/node.cc
+++ b/Source/node/node.cc
@@ -1,11 +1,15 @@
 #include "node/node.h"
 
+#include <signal.h>
+#include <unistd.h>
+
 #include <chrono>
-#include <nlohmann/json.hpp>
 #include <thread>
 #include <utility>
 
+#include "node/fleet_config_validator.h"
 #include "node/log.h"
+#include "node/note_codec.h"
 
 namespace vanillatiller {
 namespace {
@@ -22,34 +26,58 @@
       .count();
 }
 
+std::unique_ptr<MetricsRegistry> MakeMetrics() {
+  Findings findings;
+  return MetricsRegistryBuilder().Build(&findings);
+}
+
+// The main thread waits for this signal and drains the node.
+void RequestStop(const std::string& why) {
+  Log(LogLevel::kInfo, "stop-requested", {{"reason", why}});
+  kill(getpid(), SIGTERM);
+}
+
 }  // namespace
 
 Node::Node(NodeSettings settings)
     : m_settings(std::move(settings)),
       m_incarnation(NewIncarnation()),
-      m_channels(grpc::InsecureChannelCredentials()),
-      m_router({m_settings, m_view, m_ids, m_channels}),
-      m_callee({m_settings, m_view, m_ids, m_active_calls, m_incarnation}),
-      m_caller({m_settings, m_view, m_ids, m_channels, m_router, m_callee}),
-      m_entry(
-          {m_settings, m_view, m_ids, m_active_calls, m_caller, m_incarnation}),
-      m_peer_service(m_settings, m_callee, m_entry),
-      m_platform(m_settings, m_view),
+      m_metrics(MakeMetrics()),
+      m_channels(MakeChannelCredentials(m_settings.certificates)),
+      m_router({m_settings, m_view, m_ids, m_channels, *m_metrics}),
+      m_callee({m_settings, m_view, m_ids, m_active_calls, m_incarnation,
+                *m_metrics}),
+      m_caller({m_settings, m_view, m_ids, m_channels, m_router, m_callee,
+                *m_metrics}),
+      m_entry({m_settings, m_view, m_ids, m_active_calls, m_caller, *m_metrics,
+               m_incarnation}),
+      m_control({m_settings, m_view, m_incarnation,
+                 MakeChannelCredentials(m_settings.certificates),
+                 std::make_shared<NoteCodec>(),
+                 std::make_shared<FleetConfigValidator>()}),
+      m_report({m_settings, m_view, m_callee, m_entry, m_control, *m_metrics,
+                m_incarnation}),
+      m_peer_service(m_settings, m_callee, m_entry, m_control),
+      m_operator_service({m_report, RequestStop}),
       m_public_front(m_settings.public_listener, m_settings),
       m_local_front(m_settings.local_listener, m_settings),
       m_admin_front(m_settings.admin_listener, m_settings),
       m_admission_ticker(kAdmissionTick,
-                         [this](TimePoint now) { m_callee.OnTick(now); }),
-      m_threshold_ticker(kThresholdTick,
-                         [this](TimePoint now) { m_entry.OnTick(now); }) {
+                         [this](TimePoint now) { TickAdmission(now); }),
+      m_threshold_ticker(kThresholdTick, [this](TimePoint now) {
+        m_entry.OnTick(now);
+        m_callee.ExpireThresholds(now);
+      }) {
   m_public_front.ServeCalls(m_entry, /*is_local=*/false);
   m_local_front.ServeCalls(m_entry, /*is_local=*/true);
   m_admin_front.ServeText("/status", "application/json",
-                          [this] { return RenderStatus(); });
+                          [this] { return *m_report.Render("summary"); });
+  m_admin_front.ServeText("/metrics", "text/plain; version=0.0.4",
+                          [this] { return m_report.RenderMetrics(); });
 }
 
 Node::~Node() {
-  m_platform.Stop();
+  m_control.Stop();
   if (m_server) m_server->Shutdown();
 }
 
@@ -57,8 +85,10 @@
   grpc::ServerBuilder builder;
   int port = 0;
   builder.AddListeningPort(m_settings.peer_listener.ToString(),
-                           grpc::InsecureServerCredentials(), &port);
+                           MakeServerCredentials(m_settings.certificates),
+                           &port);
   builder.RegisterService(&m_peer_service);
+  builder.RegisterService(&m_operator_service);
   m_server = builder.BuildAndStart();
   if (!m_server || port == 0) {
     *reason = {
@@ -76,7 +106,7 @@
                "listener: cannot bind " + address->ToString()};
     return false;
   }
-  m_platform.Start();
+  if (!m_control.Start(reason)) return false;
   m_admission_ticker.Start();
   m_threshold_ticker.Start();
   m_router.Start();
@@ -91,38 +121,26 @@
   Log(LogLevel::kInfo, "draining");
   m_entry.StartDrain();
   m_callee.StartDrain();
+  m_control.AnnounceLeaving();
   WaitUntilIdle();
   m_public_front.Stop();
   m_local_front.Stop();
   m_admin_front.Stop();
-  m_platform.Stop();
+  m_control.Stop();
   m_router.Stop();
   m_server->Shutdown(std::chrono::system_clock::now() + kServerShutdownTime);
   Log(LogLevel::kInfo, "stopped");
 }
 
+void Node::TickAdmission(TimePoint now) {
+  m_callee.SetBackendLeaving(m_control.IsLeaving());
+  m_callee.OnTick(now);
+}
+
 void Node::WaitUntilIdle() {
   while (m_entry.in_flight() != 0 || !m_callee.WaitUntilIdle(kDrainPoll)) {
     std::this_thread::sleep_for(kDrainPoll);
   }
 }
 
-std::string Node::RenderStatus() const {
-  const auto config = m_view.config();
-  const auto members = m_view.members();
-  const LoadReport load = m_callee.load();
-  const nlohmann::json status = {
-      {"vm", m_settings.vm},
-      {"service", m_settings.service},
-      {"incarnation", m_incarnation},
-      {"config_version", config ? config->version : 0},
-      {"members", members ? members->size() : 0},
-      {"in_flight", load.in_flight},
-      {"queued", load.queued},
-      {"concurrency_limit", load.concurrency_limit},
-      {"leaving", load.leaving},
-  };
-  return status.dump(2);
-}
-
 }  // namespace vanillatiller
