--- a/Source/node/callee.cc
+++ b/Source/node/callee.cc
@@ -115,14 +115,14 @@
   load.in_flight = state.in_flight;
   load.queued = state.queued;
   load.concurrency_limit = state.limit;
-  load.leaving = m_draining;
+  load.leaving = IsLeaving();
   load.incarnation = m_incarnation;
   return load;
 }
 
 Reason Callee::CheckAcceptable(const CallContext& context,
                                TimePoint now) const {
-  if (m_draining) return {RefusalCode::kLeaving, "node is leaving"};
+  if (IsLeaving()) return {RefusalCode::kLeaving, "node is leaving"};
   if (context.service != m_settings.service) {
     return {RefusalCode::kUnknownService,
             "this node serves \"" + m_settings.service + "\", not \"" +
--- a/Source/node/callee.h
+++ b/Source/node/callee.h
@@ -48,7 +48,10 @@
 
   // Refuses new calls as not run from now on.
   void StartDrain();
-  bool IsDraining() const { return m_draining; }
+  // Refuses new calls as not run while the backend server is leaving. Unlike a
+  // drain this can end, since the news of it may be false.
+  void SetBackendLeaving(bool is_leaving) { m_backend_leaving = is_leaving; }
+  bool IsLeaving() const { return m_draining || m_backend_leaving; }
 
   // Waits until no call is in flight. False if `timeout` passes first.
   bool WaitUntilIdle(std::chrono::milliseconds timeout);
@@ -90,6 +93,7 @@
   MetricsRegistry& m_metrics;
   BackendClient m_backend;
   std::atomic<bool> m_draining{false};
+  std::atomic<bool> m_backend_leaving{false};
   std::atomic<bool> m_is_backend_unreachable{false};
   AdmissionGate m_gate;
 
--- a/Source/node/entry.h
+++ b/Source/node/entry.h
@@ -88,8 +88,8 @@
   IdSource& m_ids;
   ActiveCalls& m_active_calls;
   Caller& m_caller;
-  MetricsRegistry& m_metrics;
   ThresholdGuard m_thresholds;
+  MetricsRegistry& m_metrics;
   std::atomic<bool> m_draining{false};
   std::atomic<uint32_t> m_in_flight{0};
 };
--- a/Source/node/node.cc
+++ b/Source/node/node.cc
@@ -7,7 +7,9 @@
 #include <thread>
 #include <utility>
 
+#include "node/fleet_config_validator.h"
 #include "node/log.h"
+#include "node/release_note_codec.h"
 
 namespace vanillatiller {
 namespace {
@@ -41,7 +43,7 @@
     : m_settings(std::move(settings)),
       m_incarnation(NewIncarnation()),
       m_metrics(MakeMetrics()),
-      m_channels(grpc::InsecureChannelCredentials()),
+      m_channels(MakeChannelCredentials(m_settings.certificates)),
       m_router({m_settings, m_view, m_ids, m_channels, *m_metrics}),
       m_callee({m_settings, m_view, m_ids, m_active_calls, m_incarnation,
                 *m_metrics}),
@@ -49,16 +51,19 @@
                 *m_metrics}),
       m_entry(
           {m_settings, m_view, m_ids, m_active_calls, m_caller, *m_metrics}),
-      m_report(
-          {m_settings, m_view, m_callee, m_entry, *m_metrics, m_incarnation}),
-      m_peer_service(m_settings, m_callee),
+      m_control({m_settings, m_view, m_incarnation,
+                 MakeChannelCredentials(m_settings.certificates),
+                 std::make_shared<ReleaseNoteCodec>(),
+                 std::make_shared<FleetConfigValidator>()}),
+      m_report({m_settings, m_view, m_callee, m_entry, m_control, *m_metrics,
+                m_incarnation}),
+      m_peer_service(m_settings, m_callee, m_control),
       m_operator_service({m_report, RequestStop}),
-      m_platform(m_settings, m_view),
       m_public_front(m_settings.public_listener, m_settings),
       m_local_front(m_settings.local_listener, m_settings),
       m_admin_front(m_settings.admin_listener, m_settings),
       m_admission_ticker(kAdmissionTick,
-                         [this](TimePoint now) { m_callee.OnTick(now); }),
+                         [this](TimePoint now) { TickAdmission(now); }),
       m_threshold_ticker(kThresholdTick,
                          [this](TimePoint now) { m_entry.OnTick(now); }) {
   m_public_front.ServeCalls(m_entry, /*is_local=*/false);
@@ -70,7 +75,7 @@
 }
 
 Node::~Node() {
-  m_platform.Stop();
+  m_control.Stop();
   if (m_server) m_server->Shutdown();
 }
 
@@ -78,7 +83,8 @@
   grpc::ServerBuilder builder;
   int port = 0;
   builder.AddListeningPort(m_settings.peer_listener.ToString(),
-                           grpc::InsecureServerCredentials(), &port);
+                           MakeServerCredentials(m_settings.certificates),
+                           &port);
   builder.RegisterService(&m_peer_service);
   builder.RegisterService(&m_operator_service);
   m_server = builder.BuildAndStart();
@@ -98,7 +104,7 @@
                "listener: cannot bind " + address->ToString()};
     return false;
   }
-  m_platform.Start();
+  if (!m_control.Start(reason)) return false;
   m_admission_ticker.Start();
   m_threshold_ticker.Start();
   m_router.Start();
@@ -113,16 +119,22 @@
   Log(LogLevel::kInfo, "draining");
   m_entry.StartDrain();
   m_callee.StartDrain();
+  m_control.AnnounceLeaving();
   WaitUntilIdle();
   m_public_front.Stop();
   m_local_front.Stop();
   m_admin_front.Stop();
-  m_platform.Stop();
+  m_control.Stop();
   m_router.Stop();
   m_server->Shutdown(std::chrono::system_clock::now() + kServerShutdownTime);
   Log(LogLevel::kInfo, "stopped");
 }
 
+void Node::TickAdmission(TimePoint now) {
+  m_callee.SetBackendLeaving(m_control.IsLeaving());
+  m_callee.OnTick(now);
+}
+
 void Node::WaitUntilIdle() {
   while (m_entry.in_flight() != 0 || !m_callee.WaitUntilIdle(kDrainPoll)) {
     std::this_thread::sleep_for(kDrainPoll);
--- a/Source/node/node.h
+++ b/Source/node/node.h
@@ -10,6 +10,7 @@
 #include "node/active_calls.h"
 #include "node/callee.h"
 #include "node/caller.h"
+#include "node/control_plane.h"
 #include "node/entry.h"
 #include "node/fleet_view.h"
 #include "node/http_front.h"
@@ -18,7 +19,6 @@
 #include "node/peer_channels.h"
 #include "node/peer_router.h"
 #include "node/peer_service.h"
-#include "node/platform_client.h"
 #include "node/settings.h"
 #include "node/status_report.h"
 #include "node/ticker.h"
@@ -40,6 +40,7 @@
   void Drain();
 
  private:
+  void TickAdmission(TimePoint now);
   void WaitUntilIdle();
 
   const NodeSettings m_settings;
@@ -53,10 +54,10 @@
   Callee m_callee;
   Caller m_caller;
   Entry m_entry;
+  ControlPlane m_control;
   StatusReport m_report;
   PeerService m_peer_service;
   OperatorService m_operator_service;
-  PlatformClient m_platform;
   HttpFront m_public_front;
   HttpFront m_local_front;
   HttpFront m_admin_front;
--- a/Source/node/operator_service.cc
+++ b/Source/node/operator_service.cc
@@ -38,7 +38,7 @@
   response->mutable_config()->set_digest(status.digest.data(),
                                          status.digest.size());
   response->mutable_config()->set_confirmed(status.confirmed);
-  response->set_value(*status.text);
+  response->set_value(status.value->text);
   response->set_conflict(status.conflict);
   reactor->Finish(grpc::Status::OK);
   return reactor;
--- a/Source/node/status_report.cc
+++ b/Source/node/status_report.cc
@@ -46,6 +46,7 @@
       m_view(parts.view),
       m_callee(parts.callee),
       m_entry(parts.entry),
+      m_control(parts.control),
       m_metrics(parts.metrics),
       m_incarnation(parts.incarnation) {}
 
@@ -63,18 +64,22 @@
   return FormatPrometheus(m_metrics);
 }
 
-ConfigStatus StatusReport::config_status() {
-  auto config = m_view.config();
-  const std::lock_guard lock(m_mutex);
-  if (config == m_config || !config) return m_config_status;
-  m_config_status.version = config->version;
-  m_config_status.text =
-      std::make_shared<const std::string>(FormatFleetConfig(*config));
-  m_config_status.digest = Sha256(*m_config_status.text);
-  // The platform client takes values from the configuration service itself.
-  m_config_status.confirmed = true;
-  m_config = std::move(config);
-  return m_config_status;
+ConfigStatus StatusReport::config_status() const {
+  const ControlStatus control = m_control.status();
+  ConfigStatus result;
+  result.value = m_control.config_value();
+  if (result.value) {
+    result.version = result.value->stamp.version;
+    result.digest = result.value->stamp.digest;
+  }
+  result.confirmed = control.confirmed;
+  if (control.conflict) {
+    result.conflict = "version " +
+                      std::to_string(control.conflict->other.version) +
+                      " with digest " + ToHex(control.conflict->other.digest) +
+                      " from " + control.conflict->source;
+  }
+  return result;
 }
 
 uint32_t StatusReport::in_flight() const {
@@ -86,6 +91,7 @@
   const LoadReport load = m_callee.load();
   const MetricsSnapshot metrics = m_metrics.Snapshot();
   const ConfigStatus config = config_status();
+  const ControlStatus control = m_control.status();
   uint64_t complete = 0;
   uint64_t not_run = 0;
   uint64_t unknown = 0;
@@ -116,6 +122,15 @@
       {"not_run", not_run},
       {"unknown", unknown},
       {"leaving", load.leaving},
+      {"config_reader", control.reader},
+      {"config_reads", control.spread.service_reads},
+      {"membership_relay", control.relay},
+      {"membership_in_doubt", control.in_doubt},
+      {"membership_superseded", control.superseded},
+      {"suspicions", control.membership.suspicions},
+      {"failures_declared", control.membership.failures_declared},
+      {"refutations", control.membership.refutations},
+      {"backend_healthy", control.backend_healthy},
   });
 }
 
--- a/Source/node/status_report.h
+++ b/Source/node/status_report.h
@@ -2,7 +2,6 @@
 #define VANILLATILLER_SOURCE_NODE_STATUS_REPORT_H_
 
 #include <memory>
-#include <mutex>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -10,6 +9,7 @@
 #include "base/base.h"
 #include "metrics/metrics.h"
 #include "node/callee.h"
+#include "node/control_plane.h"
 #include "node/entry.h"
 #include "node/fleet_view.h"
 #include "node/settings.h"
@@ -21,8 +21,8 @@
   // 0 if none is.
   uint64_t version = 0;
   Sha256Digest digest{};
-  // Canonical text; null if none is in force.
-  std::shared_ptr<const std::string> text;
+  // Null if none is in force.
+  std::shared_ptr<const ConfigValue> value;
   bool confirmed = false;
   // Not empty if an equal version with another digest was seen.
   std::string conflict;
@@ -36,6 +36,7 @@
     const FleetView& view;
     const Callee& callee;
     const Entry& entry;
+    const ControlPlane& control;
     MetricsRegistry& metrics;
     Incarnation incarnation;
   };
@@ -49,7 +50,7 @@
   // Prometheus text.
   std::string RenderMetrics();
 
-  ConfigStatus config_status();
+  ConfigStatus config_status() const;
 
   // Calls of peers and requests of callers that are not answered yet.
   uint32_t in_flight() const;
@@ -64,13 +65,9 @@
   const FleetView& m_view;
   const Callee& m_callee;
   const Entry& m_entry;
+  const ControlPlane& m_control;
   MetricsRegistry& m_metrics;
   const Incarnation m_incarnation;
-
-  // Text and digest of m_config, which take milliseconds for a large value.
-  std::mutex m_mutex;
-  std::shared_ptr<const FleetConfig> m_config;
-  ConfigStatus m_config_status;
 };
 
 }  // namespace vanillatiller
