--- a/Source/fleetconfig/note_applier.cc
+++ b/Source/fleetconfig/note_applier.cc
@@ -306,6 +306,7 @@
   };
   const auto find_all = [&](ItemKind kind, const auto& items) {
     std::vector<Place> places;
+    places.reserve(items.size());
     for (const auto& item : items) places.push_back(find(kind, ItemName(item)));
     return places;
   };
@@ -319,6 +320,7 @@
   for (const ServiceConfig& service : m_result.services) {
     ServicePlaces& service_places = places.services.emplace_back();
     service_places.service = find(ItemKind::kService, service.name);
+    service_places.methods.reserve(service.methods.size());
     for (const MethodConfig& method : service.methods) {
       const Place place =
           find(ItemKind::kMethod, absl::StrCat(service.name, ".", method.name));
--- a/Source/node/release_note_codec.h
+++ b/Source/node/note_codec.h
@@ -1,5 +1,5 @@
-#ifndef VANILLATILLER_SOURCE_NODE_RELEASE_NOTE_CODEC_H_
-#define VANILLATILLER_SOURCE_NODE_RELEASE_NOTE_CODEC_H_
+#ifndef VANILLATILLER_SOURCE_NODE_NOTE_CODEC_H_
+#define VANILLATILLER_SOURCE_NODE_NOTE_CODEC_H_
 
 #include <optional>
 #include <string>
@@ -9,9 +9,9 @@
 
 namespace vanillatiller {
 
-// Sends changes of the configuration between nodes as release notes. Applying
-// one checks the digest of the whole result.
-class ReleaseNoteCodec final : public DeltaCodec {
+// Release notes as the deltas between nodes. A note that breaks a rule for
+// operators (CheckNote) cannot be applied; the full value is sent then.
+class NoteCodec final : public DeltaCodec {
  public:
   std::optional<std::string> Diff(std::string_view base,
                                   std::string_view value) const override;
@@ -21,4 +21,4 @@
 
 }  // namespace vanillatiller
 
-#endif  // VANILLATILLER_SOURCE_NODE_RELEASE_NOTE_CODEC_H_
+#endif  // VANILLATILLER_SOURCE_NODE_NOTE_CODEC_H_
