Stubs: Wake one waiting call for each freed slot; plan relays

Change: a freed slot passes to the first waiting call; callers keep a ticket whose request may be running. Experiments can put relays in front of nodes, for which the node's settings get advertised_peer.

--- a/Source/node/control_plane.cc
+++ b/Source/node/control_plane.cc
@@ -35,7 +35,7 @@
   Member self;
   self.vm = settings.vm;
   self.service = settings.service;
-  self.peer_address = settings.peer_listener.ToString();
+  self.peer_address = settings.advertised_peer.ToString();
   self.failure_domain = settings.failure_domain;
   self.region = settings.region;
   self.incarnation = incarnation;
--- a/Source/node/settings.cc
+++ b/Source/node/settings.cc
@@ -78,12 +78,16 @@
   }
 
   void ReadListeners(const toml::table& table, NodeSettings* settings) {
-    m_reader.CheckFields(
-        table, {"public", "local", "peer", "admin", "allow_plaintext"});
+    m_reader.CheckFields(table, {"public", "local", "peer", "admin",
+                                 "advertised_peer", "allow_plaintext"});
     ReadAddress(table, "public", &settings->public_listener);
     ReadAddress(table, "local", &settings->local_listener);
     ReadAddress(table, "peer", &settings->peer_listener);
     ReadAddress(table, "admin", &settings->admin_listener);
+    settings->advertised_peer = settings->peer_listener;
+    if (table.get("advertised_peer") != nullptr) {
+      ReadAddress(table, "advertised_peer", &settings->advertised_peer);
+    }
     m_reader.ReadBool(table, "allow_plaintext", &settings->allow_plaintext);
     if (!IsLoopback(settings->local_listener.ip)) {
       m_reader.Report(table["local"].node()->source(),
--- a/Source/node/settings.h
+++ b/Source/node/settings.h
@@ -36,6 +36,9 @@
   ListenAddress local_listener;
   ListenAddress peer_listener;
   ListenAddress admin_listener;
+  // Where other nodes reach the peer listener; the same unless it lies behind
+  // a forwarder.
+  ListenAddress advertised_peer;
   // The backend server beside this node.
   ListenAddress backend;
   // The platform's configuration service and VM list.
--- a/Source/vtbench/caller.cc
+++ b/Source/vtbench/caller.cc
@@ -151,6 +151,7 @@
   Generator generator(static_cast<uint32_t>(arrival.seed));
   uint32_t use = 1;
   std::string ticket;
+  bool may_be_running = false;
   // The first answer to a request without a ticket only delivers one, so that
   // exchange does not count as a retry.
   uint32_t tries_allowed = load.retries + (load.uses_ticket ? 2 : 1);
@@ -180,11 +181,14 @@
     // A failed answer to a request under a ticket is final: it ran.
     if (load.uses_ticket && outcome.verdict == CallerVerdict::kFailed) break;
     if (outcome.verdict == CallerVerdict::kNotRun) {
-      result.refused_uses.push_back(use);
-      ticket = outcome.ticket;
+      if (!may_be_running) result.refused_uses.push_back(use);
+      // The refusal of a repeat says nothing of an earlier try that may still
+      // run under the same ticket, so that ticket is kept.
+      if (!may_be_running && !outcome.ticket.empty()) ticket = outcome.ticket;
+    } else {
+      may_be_running = load.uses_ticket;
     }
-    // Only a repeat under the same ticket means the same use.
-    if (!load.uses_ticket || outcome.verdict == CallerVerdict::kNotRun) ++use;
+    if (!may_be_running) ++use;
   }
   result.latency = BootClock::now() - intended;
   return result;
--- a/Source/vtbench/experiment.cc
+++ b/Source/vtbench/experiment.cc
@@ -134,13 +134,14 @@
       reader.GetMilliseconds(table, "service_ms", model.service_time);
   model.distribution =
       reader.Get<std::string>(table, "distribution", model.distribution);
+  model.relay = reader.Get(table, "relay", false);
   return model;
 }
 
 void ReadService(Reader& reader, const toml::table& table,
                  Experiment* experiment) {
   reader.CheckFields(table, {"name", "servers", "slots", "connections",
-                             "service_ms", "distribution", "method"});
+                             "service_ms", "distribution", "relay", "method"});
   ServiceConfig service;
   service.name = reader.GetName(table, "name");
   service.slots = reader.GetCount(table, "slots", 1);
@@ -163,9 +164,9 @@
 
 void ReadChain(Reader& reader, const toml::table& table,
                Experiment* experiment) {
-  reader.CheckFields(table,
-                     {"prefix", "depth", "servers", "slots", "connections",
-                      "service_ms", "distribution", "headroom", "method"});
+  reader.CheckFields(
+      table, {"prefix", "depth", "servers", "slots", "connections",
+              "service_ms", "distribution", "headroom", "relay", "method"});
   const std::string prefix = reader.GetName(table, "prefix");
   const uint32_t depth = reader.GetCount(table, "depth", 1);
   const double headroom = reader.Get(table, "headroom", 1.25);
--- a/Source/vtbench/experiment.h
+++ b/Source/vtbench/experiment.h
@@ -23,6 +23,9 @@
   std::chrono::milliseconds service_time{20};
   // "constant", "exponential" or "lognormal".
   std::string distribution = "constant";
+  // Puts a relay, "relay:VM", in front of each node's peer listener, so that
+  // faults of the network can be injected.
+  bool relay = false;
 };
 
 // A stream of requests of one kind.
@@ -71,7 +74,8 @@
 struct Fault {
   // From the start of the first phase.
   std::chrono::milliseconds at{0};
-  // "platform", "stub:NAME", "node:NAME"; NAME is a VM ("s2-1") or a service
+  // "platform", "stub:NAME", "node:NAME", "relay:NAME"; NAME is a VM ("s2-1")
+  // or a service
   // ("s2"), which means all of its VMs.
   std::string target;
   // Control path with its query, such as "/control/slow?factor=10".
--- a/Source/vtbench/fleet_plan.cc
+++ b/Source/vtbench/fleet_plan.cc
@@ -10,7 +10,7 @@
 namespace {
 
 // Ports of one VM, in the order of VmPorts.
-constexpr int kPortsPerVm = 5;
+constexpr int kPortsPerVm = 7;
 
 std::string Loopback(int port) { return absl::StrCat("127.0.0.1:", port); }
 
@@ -21,13 +21,17 @@
   int peer_port;
   int admin_port;
   int backend_port;
+  int relay_port;
+  int relay_control_port;
 
   explicit VmPorts(int first)
       : public_port(first),
         local_port(first + 1),
         peer_port(first + 2),
         admin_port(first + 3),
-        backend_port(first + 4) {}
+        backend_port(first + 4),
+        relay_port(first + 5),
+        relay_control_port(first + 6) {}
 };
 
 // One VM of the fleet.
@@ -36,6 +40,12 @@
   std::string service;
   const FailureDomainConfig& domain;
   VmPorts ports;
+  bool has_relay;
+
+  // Where other nodes reach this one.
+  int advertised_port() const {
+    return has_relay ? ports.relay_port : ports.peer_port;
+  }
 };
 
 std::string NodeSettingsToml(const Vm& vm, const Policy& policy,
@@ -50,9 +60,10 @@
       "public = ", quote(Loopback(vm.ports.public_port)),
       "local = ", quote(Loopback(vm.ports.local_port)),
       "peer = ", quote(Loopback(vm.ports.peer_port)),
-      "admin = ", quote(Loopback(vm.ports.admin_port)), "[backend]\n",
-      "address = ", quote(Loopback(vm.ports.backend_port)), "[platform]\n",
-      "address = ", quote(Loopback(platform_port)),
+      "admin = ", quote(Loopback(vm.ports.admin_port)),
+      "advertised_peer = ", quote(Loopback(vm.advertised_port())),
+      "[backend]\n", "address = ", quote(Loopback(vm.ports.backend_port)),
+      "[platform]\n", "address = ", quote(Loopback(platform_port)),
       "[limits]\nmax_http_threads = 4000\n", "[policy]\n",
       "admission = ", quote(policy.admission),
       "retries = ", quote(policy.retries), "routing = ", quote(policy.routing));
@@ -104,6 +115,20 @@
   return stub;
 }
 
+PlannedProcess PlanRelay(const Vm& vm) {
+  PlannedProcess relay;
+  relay.name = "relay:" + vm.name;
+  relay.service = vm.service;
+  relay.program = "vtstub";
+  relay.arguments = {"--mode=relay",
+                     absl::StrCat("--port=", vm.ports.relay_control_port),
+                     absl::StrCat("--listen_port=", vm.ports.relay_port),
+                     absl::StrCat("--target_port=", vm.ports.peer_port)};
+  relay.address = Loopback(vm.ports.relay_control_port);
+  relay.control_address = relay.address;
+  return relay;
+}
+
 }  // namespace
 
 FleetPlan::FleetPlan(const Experiment& experiment, const Policy& policy,
@@ -128,12 +153,13 @@
     const ServerModel& model = *experiment.FindServers(service.name);
     for (uint32_t i = 0; i < model.servers; ++i) {
       const Vm vm{absl::StrCat(service.name, "-", i + 1), service.name,
-                  domains[i % domains.size()], VmPorts(port)};
+                  domains[i % domains.size()], VmPorts(port), model.relay};
       m_processes.push_back(PlanStub(vm, service, model, ++seed));
       m_processes.push_back(PlanNode(vm, policy, base_port, m_directory));
+      if (vm.has_relay) m_processes.push_back(PlanRelay(vm));
       vms.push_back({{"vm", vm.name},
                      {"service", vm.service},
-                     {"peer_address", Loopback(vm.ports.peer_port)},
+                     {"peer_address", Loopback(vm.advertised_port())},
                      {"failure_domain", vm.domain.name},
                      {"region", vm.domain.region},
                      {"state", "live"}});
--- a/Source/vtbench/fleet_plan.h
+++ b/Source/vtbench/fleet_plan.h
@@ -12,7 +12,7 @@
 
 // A process that Utilities/run_experiment.sh starts.
 struct PlannedProcess {
-  // "platform", "stub:VM" or "node:VM".
+  // "platform", "stub:VM", "node:VM" or "relay:VM".
   std::string name;
   std::string service;
   // Program ("vtstub" or "vanillatillerd") and its arguments.
@@ -47,8 +47,8 @@
   // Returns an empty string or what went wrong.
   std::string LoadProcessIds();
 
-  // Processes that `target` means: "platform", "stub:VM", "stub:SERVICE",
-  // "node:VM" or "node:SERVICE".
+  // Processes that `target` means: "platform", "stub:VM", "stub:SERVICE"
+  // and the same for nodes and relays.
   std::vector<PlannedProcess> Find(std::string_view target) const;
 
   const std::vector<PlannedProcess>& processes() const { return m_processes; }
--- a/Source/vtstub/slot_pool.cc
+++ b/Source/vtstub/slot_pool.cc
@@ -6,7 +6,7 @@
 namespace vanillatiller {
 namespace {
 
-constexpr std::chrono::milliseconds kGiveUpInterval{5};
+constexpr std::chrono::milliseconds kGiveUpInterval{50};
 
 }  // namespace
 
@@ -18,31 +18,33 @@
     return Result::kAcquired;
   }
   if (m_queue.size() >= queue_limit) return Result::kQueueFull;
-  const uint64_t position = m_next_position++;
-  m_queue.push_back(position);
-  while (true) {
-    if (m_in_use < m_slots && m_queue.front() == position) {
-      m_queue.pop_front();
-      ++m_in_use;
-      m_changed.notify_all();
-      return Result::kAcquired;
-    }
+  Waiter self;
+  m_queue.push_back(&self);
+  while (!self.is_granted) {
     lock.unlock();
     const bool abandon = give_up();
     lock.lock();
+    if (self.is_granted) break;
     if (abandon) {
-      m_queue.erase(std::find(m_queue.begin(), m_queue.end(), position));
-      m_changed.notify_all();
+      m_queue.erase(std::find(m_queue.begin(), m_queue.end(), &self));
       return Result::kGivenUp;
     }
-    m_changed.wait_for(lock, kGiveUpInterval);
+    self.granted_condition.wait_for(lock, kGiveUpInterval);
   }
+  return Result::kAcquired;
 }
 
 void SlotPool::Release() {
   const std::lock_guard lock(m_mutex);
-  --m_in_use;
-  m_changed.notify_all();
+  if (m_queue.empty()) {
+    --m_in_use;
+    return;
+  }
+  // The slot passes to the first waiting call.
+  Waiter* next = m_queue.front();
+  m_queue.pop_front();
+  next->is_granted = true;
+  next->granted_condition.notify_one();
 }
 
 uint32_t SlotPool::in_use() const {
--- a/Source/vtstub/slot_pool.h
+++ b/Source/vtstub/slot_pool.h
@@ -29,12 +29,17 @@
   uint32_t slots() const { return m_slots; }
 
  private:
+  // A waiting call. Each has a condition of its own, so that a freed slot
+  // wakes one call and not the whole queue.
+  struct Waiter {
+    std::condition_variable granted_condition;
+    bool is_granted = false;
+  };
+
   uint32_t m_slots;
   mutable std::mutex m_mutex;
-  std::condition_variable m_changed;
   uint32_t m_in_use = 0;
-  uint64_t m_next_position = 0;
-  std::deque<uint64_t> m_queue;
+  std::deque<Waiter*> m_queue;
 };
 
 }  // namespace vanillatiller
