Bench: Tell for each duplicate what the caller was told

Cause: the audit named duplicates without the answers that led to them. Change: examples carry the use numbers and the verdict of each try.

--- a/Source/vtbench/caller.cc
+++ b/Source/vtbench/caller.cc
@@ -170,6 +170,8 @@
     ++result.tries;
     result.verdict = outcome.verdict;
     result.reason = outcome.reason;
+    result.history.push_back(
+        absl::StrCat(CallerVerdictName(outcome.verdict), " ", outcome.reason));
     result.attempts = std::max(result.attempts, outcome.attempts);
     if (outcome.verdict == CallerVerdict::kComplete) {
       const auto body = nlohmann::json::parse(outcome.body, nullptr, false);
--- a/Source/vtbench/caller.h
+++ b/Source/vtbench/caller.h
@@ -48,6 +48,8 @@
   uint32_t attempts = 0;
   // Uses (see TryBody) that the caller was told were not run.
   std::vector<uint32_t> refused_uses;
+  // One entry for each try: "VERDICT REASON".
+  std::vector<std::string> history;
   // Answers that belonged to another request or were cut off.
   uint32_t wrong_answers = 0;
 
--- a/Source/vtbench/execution_audit.cc
+++ b/Source/vtbench/execution_audit.cc
@@ -6,6 +6,7 @@
 #include "absl/container/flat_hash_set.h"
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
 #include "absl/strings/str_split.h"
 
 namespace vanillatiller {
@@ -29,18 +30,39 @@
   }
 }
 
+// What the caller of a request was told, for the examples of the report.
+std::string Describe(const std::vector<RequestResult>& results,
+                     const std::string& id) {
+  for (const RequestResult& result : results) {
+    if (result.id != id) continue;
+    return absl::StrCat(
+        CallerVerdictName(result.verdict), " after ", result.tries,
+        " tries, attempts ", result.attempts, ", intended at ",
+        std::chrono::duration<double>(result.arrival.at).count(),
+        " s: ", absl::StrJoin(result.history, ", "));
+  }
+  return "no such request";
+}
+
 void CountDuplicates(const Experiment& experiment,
+                     const std::vector<RequestResult>& results,
                      const std::vector<ExecutionRecord>& records,
                      AuditResult* audit) {
-  absl::flat_hash_map<std::string, uint32_t> executions;
+  absl::flat_hash_map<std::string, std::vector<uint32_t>> executions;
   for (const ExecutionRecord& record : records) {
-    const uint32_t count =
-        ++executions[absl::StrCat(record.id, " ", record.path)];
+    std::vector<uint32_t>& uses =
+        executions[absl::StrCat(record.id, " ", record.path)];
+    uses.push_back(record.use);
+    const auto count = static_cast<uint32_t>(uses.size());
     audit->max_executions_per_call =
         std::max(audit->max_executions_per_call, count);
     if (count == 1 || IsIdempotent(experiment.fleet, record.path)) continue;
     ++audit->duplicates;
-    AddExample(absl::StrCat("duplicate: ", record.id, " ", record.path), audit);
+    if (audit->examples.size() >= kMaxExamples) continue;
+    AddExample(absl::StrCat("duplicate: ", record.id, " ", record.path,
+                            ", uses ", absl::StrJoin(uses, " "), "; ",
+                            Describe(results, record.id)),
+               audit);
   }
   if (executions.empty()) return;
   audit->mean_executions_per_call = static_cast<double>(records.size()) /
@@ -74,7 +96,7 @@
                             const std::vector<ExecutionRecord>& records) {
   AuditResult audit;
   audit.executions = records.size();
-  CountDuplicates(experiment, records, &audit);
+  CountDuplicates(experiment, results, records, &audit);
 
   absl::flat_hash_set<std::string> good;
   absl::flat_hash_set<std::string> refused;
@@ -93,7 +115,8 @@
     const std::string use = absl::StrCat(record.id, " ", record.use);
     if (!refused.contains(use) || !ran.insert(use).second) continue;
     ++audit.false_not_run;
-    AddExample(absl::StrCat("ran though refused: ", use, " ", record.path),
+    AddExample(absl::StrCat("ran though refused: ", use, " ", record.path, "; ",
+                            Describe(results, record.id)),
                &audit);
   }
   return audit;
