--- a/Source/admission/threshold_controller.cc
+++ b/Source/admission/threshold_controller.cc
@@ -22,17 +22,22 @@
 constexpr double kSmallChange = 0.25;
 constexpr double kSmallChangeWeight = 0.3;
 // Steps of a rising share for each window.
+constexpr double kFall = 0.25;
 constexpr double kRaise = 1.25;
 constexpr double kFastRaise = 2.0;
 // Below this utilization shares rise fast.
 constexpr double kIdleUtilization = 0.8;
 // At this utilization the capacity factor stays as it is.
 constexpr double kFullUtilization = 0.97;
-constexpr double kFactorFall = 0.97;
-constexpr double kFactorRise = 1.02;
+// Steps of the capacity factor for each window. They correct lasting errors of
+// the estimates; the queue itself is drained by capacity kept back for it.
+constexpr double kFactorFall = 0.99;
+constexpr double kFactorRise = 1.01;
+// Time in which capacity is kept back to drain a standing queue, in seconds.
+constexpr double kDrainTime = 0.3;
 // Refused part of nested calls at which the capacity factor falls: each wastes
 // the work of the services above.
-constexpr double kToleratedNestedRefusals = 0.01;
+constexpr double kToleratedNestedRefusals = 0.02;
 // Fall of the capacity factor for each refused part of the nested calls.
 constexpr double kRefusedWeight = 0.3;
 constexpr double kMinFactor = 0.5;
@@ -40,6 +45,8 @@
 // A standing queue of less than this many calls is no overload, whatever delay
 // it means at a backend server with few slots.
 constexpr double kMinStandingQueue = 2;
+// Smallest correction of the estimated demand.
+constexpr double kMinCorrection = 0.25;
 constexpr uint32_t kMaxIdleWindows = 20;
 
 double Seconds(Duration duration) {
@@ -87,7 +94,7 @@
     m_capacity_factor = 1;
   }
   if (!m_is_overloaded) return;
-  CorrectCapacity(report, has_standing_queue);
+  CorrectCapacity(report, has_standing_queue, *flows);
   SetShares(report, flows);
   const auto admits_all = [](const Flow& flow) { return flow.share >= 1; };
   const auto& all = flows->All();
@@ -120,7 +127,11 @@
 }
 
 void ThresholdController::CorrectCapacity(const WindowReport& report,
-                                          bool has_standing_queue) {
+                                          bool has_standing_queue,
+                                          const FlowTable& flows) {
+  const double excess =
+      std::max(0.0, report.standing_queue - kMinStandingQueue);
+  m_backlog_slots = excess * MeanHold(flows) / kDrainTime;
   const double tolerated = kToleratedNestedRefusals * report.nested_offered;
   if (has_standing_queue) {
     m_capacity_factor *= kFactorFall;
@@ -134,6 +145,21 @@
   m_capacity_factor = std::clamp(m_capacity_factor, kMinFactor, kMaxFactor);
 }
 
+double ThresholdController::DemandCorrection(const WindowReport& report,
+                                             const FlowTable& flows) {
+  if (report.utilization >= kIdleUtilization || report.standing_queue > 0) {
+    return 1;
+  }
+  double expected = 0;
+  for (const Flow& flow : flows.All()) {
+    const double hold = Seconds(flows.ServiceTimeOf(flow).Hold());
+    expected += flow.demand * flow.share * hold;
+  }
+  const double held = report.utilization * report.limit;
+  if (expected <= held) return 1;
+  return std::max(kMinCorrection, held / expected);
+}
+
 void ThresholdController::SetShares(const WindowReport& report,
                                     FlowTable* flows) {
   m_order.clear();
@@ -144,15 +170,17 @@
     return std::tie(first.order_class, first.tenant, first.method) <
            std::tie(second.order_class, second.tenant, second.method);
   });
+  const double correction = DemandCorrection(report, *flows);
   m_demands.clear();
   for (const FlowIndex index : m_order) {
     const Flow& flow = flows->At(index);
     const double hold = Seconds(flows->ServiceTimeOf(flow).Hold());
     m_demands.push_back({flow.order_class, flow.tenant,
-                         flows->TenantWeight(flow.tenant), flow.demand * hold,
-                         0});
+                         flows->TenantWeight(flow.tenant),
+                         flow.demand * hold * correction, 0});
   }
-  PlanShares(report.limit * m_capacity_factor, m_demands);
+  const double capacity = report.limit * m_capacity_factor - m_backlog_slots;
+  PlanShares(std::max(0.0, capacity), m_demands);
   // Less important classes get nothing while a more important one is held
   // below its demand.
   bool is_used_up = false;
@@ -183,7 +211,7 @@
   if (target < 1 && std::abs(target - share) < kSmallChange * share) {
     return share + kSmallChangeWeight * (target - share);
   }
-  if (target <= share) return target;
+  if (target <= share) return std::max(target, kFall * share);
   const bool is_idle = utilization < kIdleUtilization;
   return std::min(target, share * (is_idle ? kFastRaise : kRaise));
 }
--- a/Source/node/control_plane.cc
+++ b/Source/node/control_plane.cc
@@ -218,7 +218,7 @@
 
 std::shared_ptr<const ConfigValue> ControlPlane::config_value() const {
   const std::lock_guard lock(m_mutex);
-  return m_started ? m_spread->in_force() : nullptr;
+  return m_published_config;
 }
 
 // --- Threads -----------------------------------------------------------------
@@ -327,6 +327,10 @@
     return;
   }
   m_view.SetConfig(std::move(*parsed));
+  {
+    const std::lock_guard lock(m_mutex);
+    m_published_config = config;
+  }
   Log(LogLevel::kInfo, "config-in-force",
       {{"version", std::to_string(config->stamp.version)},
        {"digest", ToHex(config->stamp.digest)}});
--- a/Source/node/control_plane.h
+++ b/Source/node/control_plane.h
@@ -82,7 +82,7 @@
                      std::function<void()> done);
 
   ControlStatus status() const;
-  // The value in force; nullptr if there is none.
+  // The value in force on the request path; nullptr if there is none.
   std::shared_ptr<const ConfigValue> config_value() const;
 
  private:
@@ -139,6 +139,7 @@
   std::optional<MemberList> m_new_members;
   std::shared_ptr<const ConfigValue> m_new_config;
   MemberList m_published_members;
+  std::shared_ptr<const ConfigValue> m_published_config;
 
   std::thread m_tick_thread;
   std::thread m_watch_thread;
--- a/Source/node/node.cc
+++ b/Source/node/node.cc
@@ -1,12 +1,15 @@
 #include "node/node.h"
 
+#include <signal.h>
+#include <unistd.h>
+
 #include <chrono>
-#include <nlohmann/json.hpp>
 #include <thread>
 #include <utility>
 
 #include "node/fleet_config_validator.h"
 #include "node/log.h"
+#include "node/note_codec.h"
 
 namespace vanillatiller {
 namespace {
@@ -23,32 +26,54 @@
       .count();
 }
 
+std::unique_ptr<MetricsRegistry> MakeMetrics() {
+  Findings findings;
+  return MetricsRegistryBuilder().Build(&findings);
+}
+
+// The main thread waits for this signal and drains the node.
+void RequestStop(const std::string& why) {
+  Log(LogLevel::kInfo, "stop-requested", {{"reason", why}});
+  kill(getpid(), SIGTERM);
+}
+
 }  // namespace
 
 Node::Node(NodeSettings settings)
     : m_settings(std::move(settings)),
       m_incarnation(NewIncarnation()),
+      m_metrics(MakeMetrics()),
       m_channels(MakeChannelCredentials(m_settings.certificates)),
-      m_router({m_settings, m_view, m_ids, m_channels}),
-      m_callee({m_settings, m_view, m_ids, m_active_calls, m_incarnation}),
-      m_caller({m_settings, m_view, m_ids, m_channels, m_router, m_callee}),
-      m_entry({m_settings, m_view, m_ids, m_active_calls, m_caller}),
+      m_router({m_settings, m_view, m_ids, m_channels, *m_metrics}),
+      m_callee({m_settings, m_view, m_ids, m_active_calls, m_incarnation,
+                *m_metrics}),
+      m_caller({m_settings, m_view, m_ids, m_channels, m_router, m_callee,
+                *m_metrics}),
+      m_entry({m_settings, m_view, m_ids, m_active_calls, m_caller, *m_metrics,
+               m_incarnation}),
       m_control({m_settings, m_view, m_incarnation,
-                 grpc::InsecureChannelCredentials(),
-                 std::make_shared<FullValueCodec>(),
+                 MakeChannelCredentials(m_settings.certificates),
+                 std::make_shared<NoteCodec>(),
                  std::make_shared<FleetConfigValidator>()}),
-      m_peer_service(m_settings, m_callee, m_control),
+      m_report({m_settings, m_view, m_callee, m_entry, m_control, *m_metrics,
+                m_incarnation}),
+      m_peer_service(m_settings, m_callee, m_entry, m_control),
+      m_operator_service({m_report, RequestStop}),
       m_public_front(m_settings.public_listener, m_settings),
       m_local_front(m_settings.local_listener, m_settings),
       m_admin_front(m_settings.admin_listener, m_settings),
       m_admission_ticker(kAdmissionTick,
-                         [this](TimePoint now) { m_callee.OnTick(now); }),
-      m_threshold_ticker(kThresholdTick,
-                         [this](TimePoint now) { m_entry.OnTick(now); }) {
+                         [this](TimePoint now) { TickAdmission(now); }),
+      m_threshold_ticker(kThresholdTick, [this](TimePoint now) {
+        m_entry.OnTick(now);
+        m_callee.ExpireThresholds(now);
+      }) {
   m_public_front.ServeCalls(m_entry, /*is_local=*/false);
   m_local_front.ServeCalls(m_entry, /*is_local=*/true);
   m_admin_front.ServeText("/status", "application/json",
-                          [this] { return RenderStatus(); });
+                          [this] { return *m_report.Render("summary"); });
+  m_admin_front.ServeText("/metrics", "text/plain; version=0.0.4",
+                          [this] { return m_report.RenderMetrics(); });
 }
 
 Node::~Node() {
@@ -63,6 +88,7 @@
                            MakeServerCredentials(m_settings.certificates),
                            &port);
   builder.RegisterService(&m_peer_service);
+  builder.RegisterService(&m_operator_service);
   m_server = builder.BuildAndStart();
   if (!m_server || port == 0) {
     *reason = {
@@ -106,40 +132,15 @@
   Log(LogLevel::kInfo, "stopped");
 }
 
+void Node::TickAdmission(TimePoint now) {
+  m_callee.SetBackendLeaving(m_control.IsLeaving());
+  m_callee.OnTick(now);
+}
+
 void Node::WaitUntilIdle() {
   while (m_entry.in_flight() != 0 || !m_callee.WaitUntilIdle(kDrainPoll)) {
     std::this_thread::sleep_for(kDrainPoll);
   }
 }
 
-std::string Node::RenderStatus() const {
-  const auto config = m_view.config();
-  const auto members = m_view.members();
-  const LoadReport load = m_callee.load();
-  const ControlStatus control = m_control.status();
-  const nlohmann::json status = {
-      {"vm", m_settings.vm},
-      {"service", m_settings.service},
-      {"incarnation", m_incarnation},
-      {"config_version", config ? config->version : 0},
-      {"members", members ? members->size() : 0},
-      {"in_flight", load.in_flight},
-      {"queued", load.queued},
-      {"concurrency_limit", load.concurrency_limit},
-      {"leaving", load.leaving},
-      {"config_confirmed", control.confirmed},
-      {"config_conflict", control.conflict.has_value()},
-      {"config_reader", control.reader},
-      {"config_reads", control.spread.service_reads},
-      {"membership_relay", control.relay},
-      {"membership_in_doubt", control.in_doubt},
-      {"membership_superseded", control.superseded},
-      {"suspicions", control.membership.suspicions},
-      {"failures_declared", control.membership.failures_declared},
-      {"refutations", control.membership.refutations},
-      {"backend_healthy", control.backend_healthy},
-  };
-  return status.dump(2);
-}
-
 }  // namespace vanillatiller
--- a/Tests/metrics_test.cc
+++ b/Tests/metrics_test.cc
@@ -120,6 +120,7 @@
   registry->RecordRequest({"a\"b\\c\nd", "s", 0, Outcome::kComplete,
                            RefusalCode::kNone, microseconds(9000)});
   registry->RecordSilentConnection("c", "s");
+  registry->RecordEarlyRefusal("c", "s", 0, RefusalCode::kBelowThreshold);
   const std::string text = FormatPrometheus(*registry);
   const std::string labels = R"(tenant="a\"b\\c\nd",service="s",rank="urgent")";
   for (const std::string& line : std::initializer_list<std::string>{
@@ -136,6 +137,8 @@
                ",reason=\"overload\"} 1\n",
            "vanillatiller_silent_connections_total{caller=\"c\","
            "callee=\"s\"} 1\n",
+           "vanillatiller_edge_refusals_total{caller=\"c\",callee=\"s\","
+           "rank=\"urgent\",reason=\"below-threshold\"} 1\n",
        }) {
     BOOST_TEST(text.find(line) != std::string::npos, line << text);
   }
