Membership: Slow the gossip of arrivals and wait longer on a busy node

Arrivals of a whole fleet were gossiped at the pace of failures. Change: only urgent news is gossiped every 100 ms; a node whose ticks come late waits four times longer before it suspects; Abseil's check of mutex order is off.

--- a/Source/membership/membership.cc
+++ b/Source/membership/membership.cc
@@ -136,6 +136,7 @@
   if (!leaving || self().state == MemberState::kLeaving) return actions;
   AnnounceSelf(MemberState::kLeaving, self().sequence + 1);
   m_last_change = now;
+  m_urgent_until = now + m_policy.urgent_time;
   Publish(&actions);
   return actions;
 }
@@ -183,7 +184,7 @@
     return false;
   }
   if (update.vm == m_self_vm) {
-    MergeOwn(update);
+    MergeOwn(update, now);
     return false;
   }
   const Member* entry = m_table.Find(update.vm);
@@ -195,7 +196,7 @@
 // News of this node from a peer: an older incarnation and its own words need no
 // answer, a suspicion is refuted, a departure that the platform ordered is
 // taken over.
-void Membership::MergeOwn(const Member& update) {
+void Membership::MergeOwn(const Member& update, TimePoint now) {
   const Member& own = self();
   if (update.incarnation > own.incarnation) {
     m_superseded = true;
@@ -205,6 +206,7 @@
     if (update.incarnation < own.incarnation) Enqueue(own);
     return;
   }
+  m_urgent_until = now + m_policy.urgent_time;
   if (update.state == MemberState::kLeaving) {
     AnnounceSelf(MemberState::kLeaving, update.sequence + 1);
     return;
@@ -231,6 +233,9 @@
   const bool is_failed = update.state == MemberState::kFailed;
   m_table_changed |= !was_known || !IsSameForRouting(*before, update);
   m_ring_changed |= !was_known || was_failed != is_failed;
+  const bool is_arrival = update.state == MemberState::kLive &&
+                          (!was_known || before->state == MemberState::kLive);
+  if (!is_arrival) m_urgent_until = now + m_policy.urgent_time;
   m_table.Put(update);
   m_last_change = now;
   Enqueue(update);
@@ -323,7 +328,7 @@
   probe.probe_id = m_next_probe_id++;
   probe.vm = target.vm;
   probe.address = target.peer_address;
-  probe.timeout = m_policy.probe_timeout;
+  probe.timeout = Patience(m_policy.probe_timeout);
   probe.message = MakeMessage();
   AttachEntry(target.vm, &probe.message);
   return probe;
@@ -408,11 +413,12 @@
   ++m_counters.confirmations;
   SendProbe direct = MakeProbe(*target);
   direct.fresh_connection = true;
-  direct.timeout = m_policy.confirm_timeout;
+  const Duration timeout = Patience(m_policy.confirm_timeout);
+  direct.timeout = timeout;
   Probe probe;
   probe.vm = vm;
   probe.confirming = true;
-  probe.deadline = now + m_policy.confirm_timeout + kResultMargin;
+  probe.deadline = now + timeout + kResultMargin;
   const uint64_t probe_id = direct.probe_id;
   const std::string target_address = target->peer_address;
   actions->emplace_back(std::move(direct));
@@ -434,7 +440,7 @@
   if (entry == nullptr || entry->state == MemberState::kFailed) return;
   if (IsIsolated(now)) EnterDoubt(now);
   if (m_in_doubt) return;
-  const TimePoint deadline = now + m_policy.suspicion_timeout;
+  const TimePoint deadline = now + Patience(m_policy.suspicion_timeout);
   const auto known = m_suspicions.find(vm);
   if (known != m_suspicions.end()) {
     const bool keeps_own = known->second.own;
@@ -523,6 +529,9 @@
   const bool paused =
       m_last_tick && now > *m_last_tick + m_policy.pause_threshold;
   const bool first = !m_last_tick;
+  if (!first && now > *m_last_tick + m_policy.slow_threshold) {
+    m_slow_until = now + m_policy.slow_time;
+  }
   m_last_tick = now;
   if (first) m_last_contact = now;
   if (!paused) return;
@@ -532,6 +541,14 @@
   EnterDoubt(now);
 }
 
+// A node that gets too little processor time to tick is likely the cause of the
+// silence that it sees, and waits longer (after Dadgar, Phillips and Currey,
+// "Lifeguard", DSN-W 2018).
+Duration Membership::Patience(Duration duration) const {
+  const bool is_slow = m_last_tick && *m_last_tick < m_slow_until;
+  return is_slow ? duration * m_policy.slow_factor : duration;
+}
+
 void Membership::ExpireProbes(TimePoint now, MembershipActions* actions) {
   std::vector<uint64_t> expired;
   for (auto& [id, probe] : m_probes) {
@@ -662,16 +679,19 @@
     ++m_counters.probes;
     Probe probe;
     probe.vm = target.vm;
-    probe.deadline = now + m_policy.probe_timeout + kResultMargin;
+    probe.deadline = now + request.timeout + kResultMargin;
     m_probes[request.probe_id] = probe;
     actions->emplace_back(std::move(request));
   }
 }
 
 void Membership::Gossip(TimePoint now, MembershipActions* actions) {
-  if (now < m_next_gossip) return;
   if (m_updates.IsEmpty() && m_gossip_rounds == 0) return;
-  m_next_gossip = now + m_policy.gossip_interval;
+  const bool is_urgent = m_gossip_rounds > 0 || now < m_urgent_until;
+  const Duration interval =
+      is_urgent ? m_policy.gossip_interval : m_policy.calm_gossip_interval;
+  if (now < m_last_gossip + interval) return;
+  m_last_gossip = now;
   if (m_gossip_rounds > 0) --m_gossip_rounds;
   const size_t count =
       std::min<size_t>(m_policy.gossip_fanout, m_neighbours.size());
--- a/Source/membership/membership.h
+++ b/Source/membership/membership.h
@@ -54,7 +54,14 @@
   Duration suspicion_timeout = std::chrono::milliseconds(800);
   // A node that only heard of a suspicion waits this many times longer.
   uint32_t secondhand_factor = 3;
+  // Time between gossip rounds while news of a suspected, failed, refuting or
+  // leaving member is under way.
   Duration gossip_interval = std::chrono::milliseconds(100);
+  // Time between gossip rounds while only arrivals are pending; the VM list
+  // names those as well.
+  Duration calm_gossip_interval = std::chrono::milliseconds(600);
+  // How long urgent news keeps the gossip rounds short.
+  Duration urgent_time = std::chrono::milliseconds(600);
   // Peers that one node gossips with, its successors among them.
   uint32_t neighbours = 10;
   // Peers that get the pending updates in one gossip round.
@@ -83,6 +90,12 @@
   // A tick that comes this long after the last one means that the process was
   // paused.
   Duration pause_threshold = std::chrono::milliseconds(1500);
+  // A tick that comes this long after the last one shows that the node gets too
+  // little processor time; for `slow_time` it waits `slow_factor` times longer
+  // before it suspects a peer.
+  Duration slow_threshold = std::chrono::milliseconds(250);
+  Duration slow_time = std::chrono::seconds(5);
+  int slow_factor = 4;
   // Share of the region's members, suspected or failed within `doubt_window`,
   // above which the node doubts its own view. 1 turns this rule off.
   double doubt_share = 0.25;
@@ -195,7 +208,7 @@
   // Updates.
   bool Merge(const Member& update, TimePoint now);
   void MergeAll(const MemberList& updates, TimePoint now);
-  void MergeOwn(const Member& update);
+  void MergeOwn(const Member& update, TimePoint now);
   void Accept(const Member& update, TimePoint now);
   void AnnounceSelf(MemberState state, uint64_t sequence);
   void Enqueue(const Member& member);
@@ -228,6 +241,7 @@
 
   // Steps of a tick.
   void DetectPause(TimePoint now);
+  Duration Patience(Duration duration) const;
   void ExpireProbes(TimePoint now, MembershipActions* actions);
   void ExpireSuspicions(TimePoint now);
   void DropTombstones(TimePoint now);
@@ -279,7 +293,9 @@
   TimePoint m_last_change;
   TimePoint m_doubt_since;
   TimePoint m_no_doubt_until;
-  TimePoint m_next_gossip;
+  TimePoint m_last_gossip;
+  TimePoint m_urgent_until;
+  TimePoint m_slow_until;
   TimePoint m_next_relay;
   TimePoint m_next_reconnect;
   TimePoint m_next_sync;
--- a/Source/node/main.cc
+++ b/Source/node/main.cc
@@ -10,6 +10,7 @@
 #include "absl/flags/flag.h"
 #include "absl/flags/parse.h"
 #include "absl/flags/usage.h"
+#include "absl/synchronization/mutex.h"
 #include "node/log.h"
 #include "node/node.h"
 
@@ -47,6 +48,9 @@
 
   StartLog(absl::GetFlag(FLAGS_verbose) ? LogLevel::kDebug : LogLevel::kInfo,
            settings.vm);
+  // Debian's Abseil checks the order of all mutexes, also those of gRPC, which
+  // costs about 6% of the processor time of an idle node.
+  absl::SetMutexDeadlockDetectionMode(absl::OnDeadlockCycle::kIgnore);
   Node node(settings);
   Reason reason;
   if (!node.Start(&reason)) {
