--- a/Source/admission/work_queue.cc
+++ b/Source/admission/work_queue.cc
@@ -88,7 +88,8 @@
   for (const auto& [virtual_time, index] : queue.active) {
     const FlowQueue& flow = m_flows[index];
     const double cost = std::max(flow.standing.cost, kMinCost);
-    const double own = flow.calls.size() * cost / WeightOf(queue, flow);
+    const auto length_now = static_cast<double>(flow.calls.size());
+    const double own = length_now * cost / WeightOf(queue, flow);
     if (own <= length) continue;
     length = own;
     longest = index;
--- a/Tests/admission_test.cc
+++ b/Tests/admission_test.cc
@@ -136,9 +136,9 @@
   }
 
   void CheckRefusal(const Work& work, RefusalCode code) {
-    if (code != RefusalCode::kOverload && code != RefusalCode::kBelowThreshold)
-      return;
-    if (!work.is_protected) return;
+    const bool is_shed =
+        code == RefusalCode::kOverload || code == RefusalCode::kBelowThreshold;
+    if (!is_shed || !work.is_protected) return;
     for (const auto& [id, other] : m_waiting) {
       m_had_inversion |= other.rank > work.rank;
     }
@@ -517,10 +517,10 @@
       double sum = 0;
       for (size_t i = from; i < to; ++i) {
         if (i < result.succeeded_by_arrival.size()) {
-          sum += result.succeeded_by_arrival[i];
+          sum += static_cast<double>(result.succeeded_by_arrival[i]);
         }
       }
-      return 10 * sum / (to - from);
+      return 10 * sum / static_cast<double>(to - from);
     };
     constexpr double kTarget = 0.95;
     BOOST_TEST(rate(70, 105) >= kTarget * entry.after,
--- a/Utilities/admission_bench.cc
+++ b/Utilities/admission_bench.cc
@@ -93,7 +93,8 @@
     offered += result.Stream(name + tenant).offered;
     succeeded += result.Stream(name + tenant).succeeded;
   }
-  return offered > 0 ? static_cast<double>(succeeded) / offered : 0;
+  if (offered == 0) return 0;
+  return static_cast<double>(succeeded) / static_cast<double>(offered);
 }
 
 // Prints one line for each policy and load; goodput relative to the capacity
@@ -172,7 +173,7 @@
     for (size_t j = i; j < i + kBinsPerSecond; ++j) sum += bins[j];
     if (sum < 0.95 * rate) recovered = i + 1;
   }
-  return (recovered - kEpisodeEndBin) * 0.1;
+  return static_cast<double>(recovered - kEpisodeEndBin) * 0.1;
 }
 
 // Flood of the least urgent rank at 10 times capacity from 3 s to 8 s, with the
@@ -263,9 +264,9 @@
     }
   }
   const auto passed = std::chrono::steady_clock::now() - start;
-  std::printf(
-      "cost: %.0f ns per event at 4 times capacity\n",
-      std::chrono::duration<double, std::nano>(passed).count() / decisions);
+  std::printf("cost: %.0f ns per event at 4 times capacity\n",
+              std::chrono::duration<double, std::nano>(passed).count() /
+                  static_cast<double>(decisions));
 
   auto deep = Admission::Builder()
                   .SetSlots(1)
--- a/Utilities/admission_driver.cc
+++ b/Utilities/admission_driver.cc
@@ -23,7 +23,8 @@
 }  // namespace
 
 double StreamResult::Fraction() const {
-  return offered > 0 ? static_cast<double>(succeeded) / offered : 1.0;
+  if (offered == 0) return 1.0;
+  return static_cast<double>(succeeded) / static_cast<double>(offered);
 }
 
 const StreamResult& DriverResult::Stream(const std::string& name) const {
@@ -89,7 +90,7 @@
   for (const StreamResult& stream : m_result.streams) {
     succeeded += stream.succeeded;
   }
-  m_result.goodput = succeeded / Seconds(measured);
+  m_result.goodput = static_cast<double>(succeeded) / Seconds(measured);
   m_result.wasted = m_total_work > 0 ? m_wasted_work / m_total_work : 0;
   return m_result;
 }
