--- a/Source/node/node.cc
+++ b/Source/node/node.cc
@@ -9,7 +9,7 @@
 
 #include "node/fleet_config_validator.h"
 #include "node/log.h"
-#include "node/release_note_codec.h"
+#include "node/note_codec.h"
 
 namespace vanillatiller {
 namespace {
@@ -49,15 +49,15 @@
                 *m_metrics}),
       m_caller({m_settings, m_view, m_ids, m_channels, m_router, m_callee,
                 *m_metrics}),
-      m_entry(
-          {m_settings, m_view, m_ids, m_active_calls, m_caller, *m_metrics}),
+      m_entry({m_settings, m_view, m_ids, m_active_calls, m_caller, *m_metrics,
+               m_incarnation}),
       m_control({m_settings, m_view, m_incarnation,
                  MakeChannelCredentials(m_settings.certificates),
-                 std::make_shared<ReleaseNoteCodec>(),
+                 std::make_shared<NoteCodec>(),
                  std::make_shared<FleetConfigValidator>()}),
       m_report({m_settings, m_view, m_callee, m_entry, m_control, *m_metrics,
                 m_incarnation}),
-      m_peer_service(m_settings, m_callee, m_control),
+      m_peer_service(m_settings, m_callee, m_entry, m_control),
       m_operator_service({m_report, RequestStop}),
       m_public_front(m_settings.public_listener, m_settings),
       m_local_front(m_settings.local_listener, m_settings),
--- a/Source/vtbench/experiment.cc
+++ b/Source/vtbench/experiment.cc
@@ -1,6 +1,7 @@
 #include "vtbench/experiment.h"
 
 #include <algorithm>
+#include <cmath>
 #include <initializer_list>
 #include <sstream>
 
@@ -133,13 +134,14 @@
       reader.GetMilliseconds(table, "service_ms", model.service_time);
   model.distribution =
       reader.Get<std::string>(table, "distribution", model.distribution);
+  model.relay = reader.Get(table, "relay", false);
   return model;
 }
 
 void ReadService(Reader& reader, const toml::table& table,
                  Experiment* experiment) {
   reader.CheckFields(table, {"name", "servers", "slots", "connections",
-                             "service_ms", "distribution", "method"});
+                             "service_ms", "distribution", "relay", "method"});
   ServiceConfig service;
   service.name = reader.GetName(table, "name");
   service.slots = reader.GetCount(table, "slots", 1);
@@ -157,14 +159,14 @@
                     double headroom) {
   const uint32_t length = depth - place;
   if (length == 1) return slots;
-  return static_cast<uint32_t>(slots * length * headroom + 0.5);
+  return static_cast<uint32_t>(std::lround(slots * length * headroom));
 }
 
 void ReadChain(Reader& reader, const toml::table& table,
                Experiment* experiment) {
-  reader.CheckFields(table,
-                     {"prefix", "depth", "servers", "slots", "connections",
-                      "service_ms", "distribution", "headroom", "method"});
+  reader.CheckFields(
+      table, {"prefix", "depth", "servers", "slots", "connections",
+              "service_ms", "distribution", "headroom", "relay", "method"});
   const std::string prefix = reader.GetName(table, "prefix");
   const uint32_t depth = reader.GetCount(table, "depth", 1);
   const double headroom = reader.Get(table, "headroom", 1.25);
@@ -189,9 +191,10 @@
 
 void ReadClass(Reader& reader, const toml::table& table,
                Experiment* experiment) {
-  reader.CheckFields(table, {"name", "tenant", "service", "method",
-                             "deadline_ms", "try_timeout_ms", "retries",
-                             "retry_delay_ms", "ticket", "direct", "padding"});
+  reader.CheckFields(
+      table, {"name", "tenant", "service", "method", "deadline_ms",
+              "try_timeout_ms", "retries", "retry_delay_ms", "ticket", "direct",
+              "entry_service", "padding"});
   LoadClass load;
   load.name = reader.GetName(table, "name");
   load.tenant = reader.GetName(table, "tenant");
@@ -204,6 +207,7 @@
   load.retry_delay = reader.GetMilliseconds(table, "retry_delay_ms", {});
   load.uses_ticket = reader.Get(table, "ticket", false);
   load.direct = reader.Get(table, "direct", false);
+  load.entry_service = reader.Get<std::string>(table, "entry_service", "");
   load.padding = reader.GetCount(table, "padding", 0);
   const ServiceConfig* service = experiment->fleet.FindService(load.service);
   if (service == nullptr || service->FindMethod(load.method) == nullptr) {
--- a/Source/vtctl/verify_command.cc
+++ b/Source/vtctl/verify_command.cc
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr std::chrono::milliseconds kPollInterval{250};
+constexpr std::chrono::seconds kProgressInterval{1};
 
 enum class NodeState : uint8_t {
   kInForce,
@@ -96,7 +97,12 @@
     while (true) {
       Poll();
       const Duration elapsed = client.Now() - start;
-      PrintProgress(elapsed);
+      if (m_last_done != CountDone() ||
+          elapsed >= m_last_progress + kProgressInterval) {
+        PrintProgress(elapsed);
+        m_last_done = CountDone();
+        m_last_progress = elapsed;
+      }
       if (CountDone() == m_verdicts.size()) return;
       if (elapsed + kPollInterval >= m_invocation.options.deadline) return;
       client.Sleep(kPollInterval);
@@ -222,6 +228,8 @@
   const Invocation& m_invocation;
   const ReleaseNote& m_note;
   std::vector<NodeVerdict> m_verdicts;
+  std::optional<size_t> m_last_done;
+  Duration m_last_progress{};
 };
 
 }  // namespace
