Tests: Declare no non-idempotent call below an idempotent one

The merged check of the configuration refuses such a declaration, so the fleet of at_most_once_test had no configuration. The backend server now makes the call undeclared, which is the case that the check at run time is for.

--- a/Tests/at_most_once_test.cc
+++ b/Tests/at_most_once_test.cc
@@ -36,7 +36,6 @@
 rank = "normal"
 idempotent = true
 timeout_ms = 3000
-calls = ["ledger.charge"]
 [[service]]
 name = "ledger"
 slots = 64
@@ -257,7 +256,7 @@
 }
 
 // Guards against a non-idempotent call below an idempotent one, which a retry
-// above would repeat.
+// above would repeat. The backend server makes it although it is not declared.
 BOOST_AUTO_TEST_CASE(NonIdempotentBelowIdempotentIsRefused) {
   ProcessFleet fleet(kConfig, OneCallee(5));
   BOOST_TEST_REQUIRE(WaitUntilServing(fleet));
