Node: Issue tickets under the advertised address

Cause: with advertised_peer, other nodes know the issuer under that address, and the ticket named the peer listener. Change: the issuer address of tickets is advertised_peer; the process fleet of the tests sets it for nodes behind a relay. Conclusion: relays can stay in front of nodes that issue tickets.

--- a/Source/node/entry.cc
+++ b/Source/node/entry.cc
@@ -29,7 +29,7 @@
       m_ids(parts.ids),
       m_active_calls(parts.active_calls),
       m_caller(parts.caller),
-      m_tickets(parts.settings.peer_listener.ToString(), parts.incarnation),
+      m_tickets(parts.settings.advertised_peer.ToString(), parts.incarnation),
       m_metrics(parts.metrics) {}
 
 CallAnswer Entry::Handle(EntryRequest request, TimePoint now) {
--- a/Tests/process_fleet.cc
+++ b/Tests/process_fleet.cc
@@ -131,6 +131,9 @@
        << "local = " << address(server.local_port)
        << "peer = " << address(server.peer_port)
        << "admin = " << address(server.admin_port)
+       << (server.spec.behind_relay
+               ? "advertised_peer = " + address(server.relay_port)
+               : "")
        << "[backend]\naddress = " << address(server.backend_port)
        << "[platform]\naddress = " << address(m_platform_port)
        << server.spec.extra_settings;
