Http: Listen with a backlog for bursts and share one server class

Cause: cpp-httplib listens with a backlog of 5. A burst of new connections lost most of them for a second, seen as occasional requests without an answer in the admission test of real processes. Ruled out: refusals by the node, which are answers. The node and the stub also had a thread pool each. Change: library http with HttpServer (backlog 1024) and WorkerPool, used by both; the stub's own pool is gone.

--- a/Source/node/worker_pool.cc
+++ b/Source/http/worker_pool.cc
@@ -1,4 +1,4 @@
-#include "node/worker_pool.h"
+#include "http/worker_pool.h"
 
 #include <chrono>
 #include <thread>
--- a/Source/node/worker_pool.h
+++ b/Source/http/worker_pool.h
@@ -1,5 +1,5 @@
-#ifndef VANILLATILLER_SOURCE_NODE_WORKER_POOL_H_
-#define VANILLATILLER_SOURCE_NODE_WORKER_POOL_H_
+#ifndef VANILLATILLER_SOURCE_HTTP_WORKER_POOL_H_
+#define VANILLATILLER_SOURCE_HTTP_WORKER_POOL_H_
 
 #include <condition_variable>
 #include <cstddef>
@@ -41,4 +41,4 @@
 
 }  // namespace vanillatiller
 
-#endif  // VANILLATILLER_SOURCE_NODE_WORKER_POOL_H_
+#endif  // VANILLATILLER_SOURCE_HTTP_WORKER_POOL_H_
--- a/Source/node/callee.h
+++ b/Source/node/callee.h
@@ -21,7 +21,7 @@
 #include "node/id_source.h"
 #include "node/settings.h"
 #include "node/threshold_guard.h"
-#include "node/worker_pool.h"
+#include "http/http.h"
 
 namespace vanillatiller {
 
--- a/Source/node/http_front.cc
+++ b/Source/node/http_front.cc
@@ -6,25 +6,11 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
-#include "node/worker_pool.h"
+#include "http/http.h"
 
 namespace vanillatiller {
 namespace {
 
-// Lets httplib run its connections on a WorkerPool.
-class PoolQueue final : public httplib::TaskQueue {
- public:
-  explicit PoolQueue(size_t max_threads) : m_pool(max_threads) {}
-
-  void enqueue(std::function<void()> task) override {
-    m_pool.Post(std::move(task));
-  }
-  void shutdown() override { m_pool.Shutdown(); }
-
- private:
-  WorkerPool m_pool;
-};
-
 constexpr int kBadRequest = 400;
 constexpr int kNotFound = 404;
 constexpr int kConflict = 409;
@@ -106,14 +92,9 @@
 }  // namespace
 
 HttpFront::HttpFront(const ListenAddress& address, const NodeSettings& settings)
-    : m_address(address), m_server(std::make_unique<httplib::Server>()) {
-  const size_t max_threads = settings.max_http_threads;
-  m_server->new_task_queue = [max_threads] {
-    return new PoolQueue(max_threads);
-  };
+    : m_address(address),
+      m_server(std::make_unique<HttpServer>(settings.max_http_threads)) {
   m_server->set_payload_max_length(settings.max_body_bytes);
-  m_server->set_keep_alive_max_count(std::numeric_limits<int>::max());
-  m_server->set_tcp_nodelay(true);
 }
 
 HttpFront::~HttpFront() { Stop(); }
@@ -139,7 +120,7 @@
 }
 
 bool HttpFront::Start() {
-  if (!m_server->bind_to_port(m_address.ip, m_address.port)) return false;
+  if (!m_server->Bind(m_address.ip, m_address.port)) return false;
   m_thread = std::thread([this] { m_server->listen_after_bind(); });
   return true;
 }
--- a/Source/node/http_front.h
+++ b/Source/node/http_front.h
@@ -9,12 +9,10 @@
 #include "node/entry.h"
 #include "node/settings.h"
 
-namespace httplib {
-class Server;
-}  // namespace httplib
-
 namespace vanillatiller {
 
+class HttpServer;
+
 // One HTTP listener of a node: the public one, the local one or the admin one.
 class HttpFront {
  public:
@@ -36,7 +34,7 @@
 
  private:
   const ListenAddress m_address;
-  std::unique_ptr<httplib::Server> m_server;
+  std::unique_ptr<HttpServer> m_server;
   std::thread m_thread;
 };
 
--- a/Source/node/peer_service.h
+++ b/Source/node/peer_service.h
@@ -7,7 +7,7 @@
 #include "node/control_plane.h"
 #include "node/entry.h"
 #include "node/settings.h"
-#include "node/worker_pool.h"
+#include "http/http.h"
 #include "peer.grpc.pb.h"
 
 namespace vanillatiller {
--- a/Source/vtstub/main.cc
+++ b/Source/vtstub/main.cc
@@ -13,8 +13,7 @@
 #include "absl/flags/parse.h"
 #include "absl/flags/usage.h"
 #include "absl/strings/str_split.h"
-#include "httplib.h"
-#include "vtstub/growing_task_queue.h"
+#include "http/http.h"
 #include "vtstub/vtstub.h"
 
 ABSL_FLAG(std::string, mode, "backend", "backend, platform or relay");
@@ -39,7 +38,6 @@
 namespace vanillatiller {
 namespace {
 
-constexpr size_t kKeepAliveRequests = 1'000'000'000;
 constexpr time_t kKeepAliveSeconds = 600;
 
 std::optional<std::string> ReadFile(const std::string& path) {
@@ -61,15 +59,12 @@
   setrlimit(RLIMIT_NOFILE, &limit);
 }
 
-int Listen(httplib::Server* server) {
-  server->new_task_queue = [] {
-    return new GrowingTaskQueue(absl::GetFlag(FLAGS_threads));
-  };
-  server->set_keep_alive_max_count(kKeepAliveRequests);
+int Listen(HttpServer* server) {
   server->set_keep_alive_timeout(kKeepAliveSeconds);
-  server->set_tcp_nodelay(true);
   const int port = absl::GetFlag(FLAGS_port);
-  if (server->listen(absl::GetFlag(FLAGS_ip), port)) return 0;
+  if (server->Bind(absl::GetFlag(FLAGS_ip), port)) {
+    return server->listen_after_bind() ? 0 : 1;
+  }
   std::cerr << "vtstub: cannot listen on port " << port << "\n";
   return 1;
 }
@@ -93,7 +88,7 @@
               << absl::GetFlag(FLAGS_listen_port) << "\n";
     return 1;
   }
-  httplib::Server server;
+  HttpServer server(absl::GetFlag(FLAGS_threads));
   relay.Install(server);
   return Listen(&server);
 }
@@ -114,7 +109,7 @@
                              std::chrono::duration<double, std::milli>(
                                  absl::GetFlag(FLAGS_service_ms))),
                          .seed = absl::GetFlag(FLAGS_seed)});
-  httplib::Server server;
+  HttpServer server(absl::GetFlag(FLAGS_threads));
   backend.Install(&server);
   return Listen(&server);
 }
@@ -133,7 +128,7 @@
     std::cerr << "vtstub: --config is larger than 1 MB\n";
     return 1;
   }
-  httplib::Server server;
+  HttpServer server(absl::GetFlag(FLAGS_threads));
   platform.Install(&server);
   return Listen(&server);
 }
--- a/Tests/vtstub_test.cc
+++ b/Tests/vtstub_test.cc
@@ -4,9 +4,9 @@
 #include <boost/test/unit_test.hpp>
 #include <thread>
 
+#include "http/http.h"
 #include "httplib.h"
 #include "nlohmann/json.hpp"
-#include "vtstub/growing_task_queue.h"
 
 namespace vanillatiller {
 namespace {
@@ -22,7 +22,6 @@
   std::string address() const { return "127.0.0.1:" + std::to_string(m_port); }
 
   TestServer() {
-    m_server.new_task_queue = [] { return new GrowingTaskQueue(64); };
     m_server.set_keep_alive_timeout(1);
     m_port = m_server.bind_to_any_port("127.0.0.1");
   }
@@ -40,7 +39,7 @@
   }
 
  private:
-  httplib::Server m_server;
+  HttpServer m_server{64};
   int m_port = 0;
   std::thread m_thread;
 };
