Execution: Satisfy the linter and clang

clang-tidy reported a functional cast, a const value that cannot be moved, a vector without reserved space and an unused member of Callee.

--- a/Source/execution/ticket_issuer.cc
+++ b/Source/execution/ticket_issuer.cc
@@ -132,8 +132,8 @@
     return {TicketStatus::kOtherIncarnation, ticket};
   }
   const size_t signed_size = bytes->size() - kMacSize;
-  const std::string mac =
-      Mac(m_key, std::string_view(*bytes).substr(0, signed_size));
+  const std::string_view all_bytes = *bytes;
+  const std::string mac = Mac(m_key, all_bytes.substr(0, signed_size));
   if (CRYPTO_memcmp(mac.data(), bytes->data() + signed_size, kMacSize) != 0) {
     return {TicketStatus::kForged, ticket};
   }
--- a/Source/node/callee.cc
+++ b/Source/node/callee.cc
@@ -31,7 +31,6 @@
 
 Callee::Callee(const Parts& parts)
     : m_settings(parts.settings),
-      m_view(parts.view),
       m_ids(parts.ids),
       m_active_calls(parts.active_calls),
       m_incarnation(parts.incarnation),
--- a/Source/node/callee.h
+++ b/Source/node/callee.h
@@ -108,7 +108,6 @@
   void Finish(PendingCall& pending, CallAnswer answer);
 
   const NodeSettings& m_settings;
-  const FleetView& m_view;
   IdSource& m_ids;
   ActiveCalls& m_active_calls;
   const Incarnation m_incarnation;
--- a/Source/node/caller.cc
+++ b/Source/node/caller.cc
@@ -360,7 +360,7 @@
                                Duration timeout, v1::FenceAnswer* response) {
   grpc::ClientContext client;
   client.set_deadline(GrpcDeadline(timeout));
-  const grpc::Status status = stub.Fence(&client, request, response);
+  grpc::Status status = stub.Fence(&client, request, response);
   if (status.ok()) {
     m_clocks.Observe(address, FromWire(response->answer().load()),
                      BootClock::now());
--- a/Tests/retry_test.cc
+++ b/Tests/retry_test.cc
@@ -278,10 +278,12 @@
 // Guards against a race of concurrent downstream calls on one pool.
 BOOST_AUTO_TEST_CASE(ConcurrentCallsShareOnePool) {
   constexpr uint32_t kGrant = 10000;
+  constexpr int kThreads = 4;
   const auto chain = ChainBudget::Create(kGrant);
   std::atomic<uint32_t> spent{0};
   std::vector<std::thread> threads;
-  for (int i = 0; i < 4; ++i) {
+  threads.reserve(kThreads);
+  for (int i = 0; i < kThreads; ++i) {
     threads.emplace_back([&] {
       while (auto share = chain->TakeRetry(Downstream::kCallsFurther)) {
         ++spent;
