Membership: Ignore messages that are meant for another VM

With replaced VMs an address can change hands in one fleet too, and the probe of a dead VM was answered by its successor. Change: a request names the VM that it is meant for; others ignore it, and an answer from another VM counts as silence. Result: AnotherVmAtTheAddress and the other cases of membership_test pass, also control_messages_test and StaleService. The whole ctest and request_path_test were not run again after this change.

--- a/Source/membership/membership.cc
+++ b/Source/membership/membership.cc
@@ -89,6 +89,11 @@
 MembershipActions Membership::OnProbeResult(const ProbeResult& result,
                                             TimePoint now) {
   MembershipActions actions;
+  if (IsFromAnotherVm(result)) {
+    ++m_counters.misdirected;
+    HandleUnreached(result.probe_id, now, &actions);
+    return actions;
+  }
   if (result.reached) {
     m_last_contact = now;
     HandleReached(result.probe_id, now);
@@ -107,9 +112,23 @@
   return actions;
 }
 
+// True if the address of the probed VM belongs to another one now. Answers to
+// indirect probes name no sender.
+bool Membership::IsFromAnotherVm(const ProbeResult& result) const {
+  const auto found = m_probes.find(result.probe_id);
+  if (found == m_probes.end() || !result.answer) return false;
+  const std::string& sender = result.answer->from_vm;
+  return !sender.empty() && sender != found->second.vm;
+}
+
 ExchangeOutcome Membership::OnExchange(const ExchangeMessage& request,
                                        TimePoint now) {
   ExchangeOutcome outcome;
+  if (!request.to_vm.empty() && request.to_vm != m_self_vm) {
+    ++m_counters.misdirected;
+    outcome.answer.from_vm = m_self_vm;
+    return outcome;
+  }
   m_last_contact = now;
   MergeAll(request.updates, now);
   outcome.answer = MakeMessage();
@@ -332,6 +351,7 @@
   probe.address = target.peer_address;
   probe.timeout = Patience(m_policy.probe_timeout);
   probe.message = MakeMessage();
+  probe.message.to_vm = target.vm;
   AttachEntry(target.vm, &probe.message);
   return probe;
 }
@@ -703,6 +723,7 @@
     ++m_counters.gossip_messages;
     SendProbe request = MakeProbe(*peer);
     request.message = MakeMessage(m_updates.Take(m_policy.max_updates));
+    request.message.to_vm = peer->vm;
     AttachEntry(peer->vm, &request.message);
     actions->emplace_back(std::move(request));
   }
@@ -743,6 +764,7 @@
   request.timeout = m_policy.relay_interval;
   request.message =
       MakeMessage(m_remote_updates[region].Take(m_policy.max_updates));
+  request.message.to_vm = peer->vm;
   AttachEntry(peer->vm, &request.message);
   ++m_counters.relay_messages;
   actions->emplace_back(std::move(request));
--- a/Source/membership/membership.h
+++ b/Source/membership/membership.h
@@ -125,6 +125,8 @@
   uint64_t table_comparisons = 0;
   uint64_t doubts = 0;
   uint64_t invalid_updates = 0;
+  // Messages of or for a VM that shares an address with another one.
+  uint64_t misdirected = 0;
   // VM lists whose leaving marks were passed over as implausible.
   uint64_t doubted_lists = 0;
 };
@@ -229,6 +231,7 @@
                           MembershipActions* actions);
 
   // Failure detection.
+  bool IsFromAnotherVm(const ProbeResult& result) const;
   void HandleReached(uint64_t probe_id, TimePoint now);
   void HandleUnreached(uint64_t probe_id, TimePoint now,
                        MembershipActions* actions);
--- a/Source/membership/messages.h
+++ b/Source/membership/messages.h
@@ -15,6 +15,9 @@
 // What two nodes tell each other, in both directions.
 struct ExchangeMessage {
   std::string from_vm;
+  // The VM that a request is meant for. Another one, which has taken over the
+  // address, ignores the message.
+  std::string to_vm;
   MemberList updates;
   // Digest of the sender's member table.
   uint64_t member_digest = 0;
--- a/Source/node/control_messages.cc
+++ b/Source/node/control_messages.cc
@@ -92,6 +92,7 @@
 
 void ToWire(const ExchangeMessage& exchange, v1::ExchangeRequest* message) {
   FillExchange(exchange, message);
+  message->set_to_vm(exchange.to_vm);
 }
 
 void ToWire(const ExchangeMessage& exchange, v1::ExchangeAnswer* message) {
@@ -99,7 +100,9 @@
 }
 
 ExchangeMessage FromWire(const v1::ExchangeRequest& message) {
-  return ReadExchange(message);
+  ExchangeMessage exchange = ReadExchange(message);
+  exchange.to_vm = message.to_vm();
+  return exchange;
 }
 
 ExchangeMessage FromWire(const v1::ExchangeAnswer& message) {
--- a/Source/node/control_plane.cc
+++ b/Source/node/control_plane.cc
@@ -69,8 +69,7 @@
 }  // namespace
 
 ControlPlane::ControlPlane(const Parts& parts)
-    : m_settings(parts.settings),
-      m_view(parts.view),
+    : m_view(parts.view),
       m_self(MakeSelf(parts.settings, parts.incarnation)),
       m_codec(parts.codec),
       m_validator(parts.validator),
@@ -146,7 +145,9 @@
   ToWire(outcome.answer, answer);
   FillConfig(answer->mutable_config());
   Perform(std::move(outcome.actions), now);
-  HeardStamp(request.from_vm(), request.config(), now);
+  if (message.to_vm.empty() || message.to_vm == m_self.vm) {
+    HeardStamp(request.from_vm(), request.config(), now);
+  }
 }
 
 void ControlPlane::FetchConfig(const v1::FetchConfigRequest& request,
@@ -178,6 +179,7 @@
   rpc->context.set_deadline(
       RpcDeadline(std::min(timeout, kMaxIndirectTimeout)));
   rpc->request.set_from_vm(m_self.vm);
+  rpc->request.set_to_vm(target->vm);
   ToWire(*target, rpc->request.add_updates());
   FillConfig(rpc->request.mutable_config());
   rpc->stub = m_channels.OpenSeparate(target->peer_address);
@@ -186,8 +188,9 @@
   lock.unlock();
   rpc->stub->async()->Exchange(
       &rpc->context, &rpc->request, &rpc->answer,
-      [this, rpc, answer, vm, done = std::move(done)](grpc::Status status) {
-        answer->set_reached(status.ok());
+      [this, rpc, answer, vm,
+       done = std::move(done)](const grpc::Status& status) {
+        answer->set_reached(status.ok() && rpc->answer.from_vm() == vm);
         for (const v1::MemberUpdate& update : rpc->answer.updates()) {
           if (update.vm() == vm) *answer->mutable_target() = update;
         }
@@ -411,7 +414,7 @@
   ++m_outstanding_rpcs;
   rpc->stub->async()->Exchange(
       &rpc->context, &rpc->request, &rpc->answer,
-      [this, rpc, id = probe.probe_id](grpc::Status status) {
+      [this, rpc, id = probe.probe_id](const grpc::Status& status) {
         FinishProbe(id, status, rpc->answer);
         RpcDone();
       });
@@ -428,7 +431,7 @@
   ++m_outstanding_rpcs;
   rpc->stub->async()->IndirectProbe(
       &rpc->context, &rpc->request, &rpc->answer,
-      [this, rpc, id = probe.probe_id](grpc::Status status) {
+      [this, rpc, id = probe.probe_id](const grpc::Status& status) {
         v1::ExchangeAnswer answer;
         const bool reached = status.ok() && rpc->answer.reached();
         if (rpc->answer.has_target()) {
@@ -449,7 +452,7 @@
   ++m_outstanding_rpcs;
   rpc->stub->async()->FetchConfig(
       &rpc->context, &rpc->request, &rpc->answer,
-      [this, rpc, vm = fetch.vm](grpc::Status status) {
+      [this, rpc, vm = fetch.vm](const grpc::Status& status) {
         FinishFetch(vm, status, rpc->answer);
         RpcDone();
       });
--- a/Source/node/control_plane.h
+++ b/Source/node/control_plane.h
@@ -112,7 +112,6 @@
                    const v1::FetchConfigAnswer& answer);
   void RpcDone();
 
-  const NodeSettings& m_settings;
   FleetView& m_view;
   const Member m_self;
   const std::shared_ptr<const DeltaCodec> m_codec;
--- a/Tests/control_messages_test.cc
+++ b/Tests/control_messages_test.cc
@@ -37,6 +37,7 @@
 BOOST_AUTO_TEST_CASE(ExchangeRoundTrip) {
   ExchangeMessage message;
   message.from_vm = "vm-1";
+  message.to_vm = "vm-3";
   message.updates = {{"vm-2", "orders", "10.0.0.2:1", "north-1", "north", 9,
                       MemberState::kLeaving, 4}};
   message.member_digest = 17;
@@ -48,6 +49,7 @@
   BOOST_TEST(back.from_vm == message.from_vm);
   BOOST_TEST((back.updates == message.updates));
   BOOST_TEST(back.member_digest == message.member_digest);
+  BOOST_TEST(back.to_vm == message.to_vm);
   BOOST_TEST(back.want_members);
   BOOST_TEST(back.bucket_digests == message.bucket_digests);
 }
--- a/Tests/fleet_harness.h
+++ b/Tests/fleet_harness.h
@@ -397,7 +397,6 @@
           IsActive(to) && connected(nodes[via].self, nodes[to].self);
       if (!reached) return Action(fail);
       ExchangeMessage answer;
-      answer.from_vm = ask.via_vm;
       answer.updates.push_back(nodes[to].membership->self());
       return Action([this, from, ask, answer] {
         Handle(from, nodes[from].membership->OnProbeResult(
--- a/Tests/membership_test.cc
+++ b/Tests/membership_test.cc
@@ -428,6 +428,37 @@
   BOOST_TEST(told.size() >= MembershipPolicy().neighbours);
 }
 
+// Guards against the tables of two fleets flowing together, and a dead VM being
+// taken for live, when another VM has taken over an address. Seen when two
+// fleets on one machine used the same ports.
+BOOST_AUTO_TEST_CASE(AnotherVmAtTheAddress) {
+  TimePoint now{std::chrono::hours(1)};
+  Membership::Generator rng;
+  Membership membership = AmongThirty(now, rng);
+  const auto before = membership.table().entries();
+  ExchangeMessage foreign;
+  foreign.from_vm = "other";
+  foreign.to_vm = "another";
+  foreign.updates = {Entry("foreign", 1, 0, MemberState::kLive)};
+  const auto outcome = membership.OnExchange(foreign, now);
+  BOOST_TEST(outcome.answer.updates.empty());
+  foreign.to_vm.clear();
+  bool confirms = false;
+  for (int tick = 0; tick < 10; ++tick) {
+    for (const auto& action : membership.OnTick(now, rng)) {
+      const auto* probe = std::get_if<SendProbe>(&action);
+      if (probe == nullptr || probe->message.to_vm != probe->vm) continue;
+      const auto next =
+          membership.OnProbeResult({probe->probe_id, true, foreign}, now);
+      confirms |= !next.empty();
+    }
+    if (confirms) break;
+    now += milliseconds(100);
+  }
+  BOOST_TEST(confirms);
+  BOOST_TEST((membership.table().entries() == before));
+}
+
 // Guards against a node without processor time that suspects its peers, which
 // made a busy VM busier.
 BOOST_AUTO_TEST_CASE(SlowNodeWaitsLonger) {
