Tests: Prove that damaged answers and contexts are refused

Cause: nothing tested the checks of answers (P3), contexts and settings. Change: tables of damaged answers, contexts and settings. Conclusion: P3 is proved for what arrives on the wire.

--- /dev/null
+++ b/Tests/node_input_test.cc
@@ -0,0 +1,154 @@
+#define BOOST_TEST_MODULE node_input
+#include <boost/test/unit_test.hpp>
+#include <functional>
+
+#include "node/call_answer.h"
+#include "node/settings.h"
+#include "wire/wire.h"
+
+namespace vanillatiller {
+namespace {
+
+constexpr TimePoint kNow = TimePoint(std::chrono::hours(1));
+const CallId kCall{{1, 2}};
+
+v1::Answer CompleteAnswer() {
+  CallAnswer answer;
+  answer.outcome = Outcome::kComplete;
+  answer.status = 200;
+  answer.body = "whole";
+  v1::Answer message;
+  ToWire(answer, kCall, &message);
+  return message;
+}
+
+struct AnswerCase {
+  const char* name;
+  std::function<void(v1::Answer&)> damage;
+  Outcome expected;
+};
+
+// Guards against an answer that reaches another request, or of which a part is
+// taken for the whole (P3).
+BOOST_AUTO_TEST_CASE(OnlyTheWholeAnswerToTheCallIsComplete) {
+  const std::vector<AnswerCase> cases = {
+      {"untouched", [](v1::Answer&) {}, Outcome::kComplete},
+      {"other call", [](v1::Answer& a) { a.set_call_low(3); },
+       Outcome::kUnknown},
+      {"truncated", [](v1::Answer& a) { a.set_body("who"); },
+       Outcome::kUnknown},
+      {"truncated, length too",
+       [](v1::Answer& a) {
+         a.set_body("who");
+         a.set_body_length(3);
+       },
+       Outcome::kUnknown},
+      {"altered", [](v1::Answer& a) { a.set_body("whale"); },
+       Outcome::kUnknown},
+      {"empty", [](v1::Answer& a) { a.Clear(); }, Outcome::kUnknown},
+      {"outcome out of range",
+       [](v1::Answer& a) { a.set_outcome(static_cast<v1::Outcome>(77)); },
+       Outcome::kUnknown},
+  };
+  for (const AnswerCase& entry : cases) {
+    v1::Answer message = CompleteAnswer();
+    entry.damage(message);
+    BOOST_TEST((FromWire(message, kCall).outcome == entry.expected),
+               entry.name);
+  }
+}
+
+struct ContextCase {
+  const char* name;
+  std::function<void(v1::CallContext&)> damage;
+};
+
+// Guards against a forged or damaged context that is taken for a call.
+BOOST_AUTO_TEST_CASE(DamagedContextsAreRefused) {
+  CallContext context;
+  context.request = {{1, 1}};
+  context.call = kCall;
+  context.service = "ledger";
+  context.method = "read";
+  context.deadline = kNow + std::chrono::seconds(1);
+  v1::CallContext good;
+  ToWire(context, kNow, &good);
+  Reason reason;
+  BOOST_TEST(FromWire(good, kNow, &reason).has_value());
+
+  const std::vector<ContextCase> cases = {
+      {"no request",
+       [](auto& c) { c.set_request_high(0), c.set_request_low(0); }},
+      {"no call", [](auto& c) { c.set_call_high(0), c.set_call_low(0); }},
+      {"no service", [](auto& c) { c.clear_service(); }},
+      {"long method", [](auto& c) { c.set_method(std::string(129, 'm')); }},
+      {"long tenant", [](auto& c) { c.set_tenant(std::string(129, 't')); }},
+      {"rank", [](auto& c) { c.set_rank(256); }},
+      {"depth", [](auto& c) { c.set_depth(65); }},
+      {"attempts", [](auto& c) { c.set_extra_attempts(1001); }},
+      {"time left", [](auto& c) { c.set_time_left_us(UINT64_MAX); }},
+  };
+  for (const ContextCase& entry : cases) {
+    v1::CallContext message = good;
+    entry.damage(message);
+    reason = {};
+    BOOST_TEST(!FromWire(message, kNow, &reason).has_value(), entry.name);
+    BOOST_TEST((reason.code != RefusalCode::kNone), entry.name);
+  }
+}
+
+constexpr std::string_view kSettings = R"([node]
+vm = "vm-1"
+service = "ledger"
+region = "north"
+failure_domain = "north-1"
+[listeners]
+public = "10.0.0.1:80"
+local = "127.0.0.1:81"
+peer = "127.0.0.1:82"
+admin = "127.0.0.1:83"
+[backend]
+address = "127.0.0.1:84"
+[platform]
+address = "10.0.0.9:85"
+)";
+
+struct SettingsCase {
+  const char* name;
+  const char* from;
+  const char* to;
+  uint32_t line;
+};
+
+// Guards against a node that starts with settings that mean something else
+// than the operator wrote.
+BOOST_AUTO_TEST_CASE(SettingsFaultsHaveTheirPlace) {
+  const std::vector<SettingsCase> cases = {
+      {"local listener for all", "127.0.0.1:81", "10.0.0.1:81", 8},
+      {"peers in plaintext", "127.0.0.1:82", "10.0.0.1:82", 1},
+      {"name instead of IP number", "10.0.0.9:85", "platform:85", 14},
+      {"port out of range", "10.0.0.9:85", "10.0.0.9:99999", 14},
+      {"signed port", "10.0.0.9:85", "10.0.0.9:+85", 14},
+      {"unknown field", "region =", "zone =", 4},
+      {"wrong type", "\"vm-1\"", "1", 2},
+      {"broken TOML", "[backend]", "[backend", 11},
+  };
+  Findings findings;
+  BOOST_TEST(ParseSettings(kSettings, "s", &findings).has_value(),
+             FormatFindings(findings));
+  for (const SettingsCase& entry : cases) {
+    std::string text(kSettings);
+    text.replace(text.find(entry.from), std::string_view(entry.from).size(),
+                 entry.to);
+    findings.clear();
+    BOOST_TEST(!ParseSettings(text, "s", &findings).has_value(), entry.name);
+    BOOST_TEST_REQUIRE(!findings.empty(), entry.name);
+    const bool has_place =
+        std::any_of(findings.begin(), findings.end(),
+                    [&](const Finding& f) { return f.line == entry.line; });
+    BOOST_TEST(has_place, entry.name << ": " << FormatFindings(findings));
+  }
+}
+
+}  // namespace
+}  // namespace vanillatiller
