Project: Correct what the formatter and linter found

Change: braces, a checked return value, reserved vectors, sizes without widening, an exception caught in a main function. Conclusion: done.

--- a/Source/membership/membership.cc
+++ b/Source/membership/membership.cc
@@ -222,8 +222,9 @@
     return;
   }
   if (!Supersedes(update, own)) {
-    if (update.incarnation < own.incarnation)
+    if (update.incarnation < own.incarnation) {
       Enqueue(own, m_policy.transmissions);
+    }
     return;
   }
   m_urgent_until = now + m_policy.urgent_time;
--- a/Source/node/callee.h
+++ b/Source/node/callee.h
@@ -11,6 +11,7 @@
 #include <unordered_map>
 
 #include "base/base.h"
+#include "http/http.h"
 #include "metrics/metrics.h"
 #include "node/active_calls.h"
 #include "node/admission_gate.h"
@@ -21,7 +22,6 @@
 #include "node/id_source.h"
 #include "node/settings.h"
 #include "node/threshold_guard.h"
-#include "http/http.h"
 
 namespace vanillatiller {
 
--- a/Source/node/peer_service.h
+++ b/Source/node/peer_service.h
@@ -3,11 +3,11 @@
 
 #include <grpcpp/grpcpp.h>
 
+#include "http/http.h"
 #include "node/callee.h"
 #include "node/control_plane.h"
 #include "node/entry.h"
 #include "node/settings.h"
-#include "http/http.h"
 #include "peer.grpc.pb.h"
 
 namespace vanillatiller {
--- a/Tests/http_test.cc
+++ b/Tests/http_test.cc
@@ -8,6 +8,7 @@
 
 #include <atomic>
 #include <boost/test/unit_test.hpp>
+#include <cerrno>
 #include <chrono>
 #include <thread>
 #include <vector>
@@ -38,7 +39,9 @@
 int StartConnect(int port) {
   const int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
   const sockaddr_in address = Loopback(port);
-  connect(fd, reinterpret_cast<const sockaddr*>(&address), sizeof(address));
+  const int result =
+      connect(fd, reinterpret_cast<const sockaddr*>(&address), sizeof(address));
+  BOOST_TEST_REQUIRE((result == 0 || errno == EINPROGRESS));
   return fd;
 }
 
--- a/Utilities/fleet_bench.cc
+++ b/Utilities/fleet_bench.cc
@@ -102,6 +102,7 @@
 
 pid_t Spawn(std::vector<std::string> arguments, const std::string& log_path) {
   std::vector<char*> argv;
+  argv.reserve(arguments.size() + 1);
   for (std::string& argument : arguments) argv.push_back(argument.data());
   argv.push_back(nullptr);
   posix_spawn_file_actions_t actions;
@@ -182,7 +183,8 @@
       result.changes_ms.push_back(Change().value_or(-1));
       std::this_thread::sleep_for(seconds(2));
     }
-    for (int i = 0; i < absl::GetFlag(FLAGS_kills); ++i) {
+    const auto kills = static_cast<size_t>(absl::GetFlag(FLAGS_kills));
+    for (size_t i = 0; i < kills; ++i) {
       result.killed_ms.push_back(Lose(2 * i, SIGKILL).value_or(-1));
       result.silent_ms.push_back(Lose(2 * i + 1, SIGSTOP).value_or(-1));
     }
--- a/Utilities/membership_comparison.cc
+++ b/Utilities/membership_comparison.cc
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <array>
 #include <cstdio>
+#include <exception>
 #include <string>
 #include <vector>
 
@@ -90,6 +91,11 @@
 }  // namespace vanillatiller
 
 int main(int argc, char** argv) {
-  absl::ParseCommandLine(argc, argv);
-  return vanillatiller::Run();
+  try {
+    absl::ParseCommandLine(argc, argv);
+    return vanillatiller::Run();
+  } catch (const std::exception& error) {
+    std::fprintf(stderr, "%s\n", error.what());
+    return 1;
+  }
 }
