--- a/Utilities/demo.sh
+++ b/Utilities/demo.sh
@@ -4,6 +4,7 @@
 set -eu
 cd "$(dirname "$0")/.."
 export BUILD=${BUILD:-build}
+Utilities/packages.sh
 cmake -S . -B "$BUILD" -G Ninja >/dev/null
 cmake --build "$BUILD" -j"${JOBS:-4}" --target vtstub vtbench vanillatillerd
 Utilities/run_experiment.sh docs/experiments/demo.toml 1 "$BUILD/results/demo"
