Metrics: Write counters and gauges by one loop

Cause: Counter and Gauge of the Prometheus text were the same loop twice. Change: both call one function with their type. Conclusion: no behaviour changed.

--- a/Source/metrics/exposition.cc
+++ b/Source/metrics/exposition.cc
@@ -95,18 +95,12 @@
 
   void Counter(std::string_view name, uint64_t Snapshot::*member,
                std::string_view help) {
-    m_writer->Family(name, "counter", help);
-    for (const Snapshot& snapshot : m_snapshots) {
-      m_writer->Sample(m_labels(snapshot), snapshot.*member);
-    }
+    Samples(name, "counter", member, help);
   }
 
   void Gauge(std::string_view name, uint64_t Snapshot::*member,
              std::string_view help) {
-    m_writer->Family(name, "gauge", help);
-    for (const Snapshot& snapshot : m_snapshots) {
-      m_writer->Sample(m_labels(snapshot), snapshot.*member);
-    }
+    Samples(name, "gauge", member, help);
   }
 
   void Seconds(std::string_view name, uint64_t Snapshot::*member,
@@ -151,6 +145,14 @@
   }
 
  private:
+  void Samples(std::string_view name, std::string_view type,
+               uint64_t Snapshot::*member, std::string_view help) {
+    m_writer->Family(name, type, help);
+    for (const Snapshot& snapshot : m_snapshots) {
+      m_writer->Sample(m_labels(snapshot), snapshot.*member);
+    }
+  }
+
   PrometheusWriter* m_writer;
   const std::vector<Snapshot>& m_snapshots;
   Labels m_labels;
