--- a/Source/admission/admission.cc
+++ b/Source/admission/admission.cc
@@ -33,6 +33,8 @@
       return {true, false, false};
     case AdmissionPolicy::kNone:
       return {false, false, false};
+    case AdmissionPolicy::kRanked:
+      return {true, false, true};
     case AdmissionPolicy::kAdaptive:
       break;
   }
@@ -50,6 +52,7 @@
   if (name == "adaptive") return AdmissionPolicy::kAdaptive;
   if (name == "fixed") return AdmissionPolicy::kFixed;
   if (name == "none") return AdmissionPolicy::kNone;
+  if (name == "ranked") return AdmissionPolicy::kRanked;
   return std::nullopt;
 }
 
@@ -371,7 +374,7 @@
   }
   if (!m_unknown_policy.empty()) {
     report(absl::StrCat("unknown policy \"", m_unknown_policy,
-                        "\"; expected adaptive, fixed or none"));
+                        "\"; expected adaptive, fixed, none or ranked"));
   }
   for (const TenantWeight& item : m_settings.tenant_weights) {
     if (item.weight > 0) continue;
--- a/Source/admission/admission_policy.h
+++ b/Source/admission/admission_policy.h
@@ -14,9 +14,13 @@
   kFixed = 2,
   // No limit; a baseline.
   kNone = 3,
+  // The declared slots, for backend servers that state them truthfully, and a
+  // ranked queue. No thresholds: what cannot be served in time is refused one
+  // by one.
+  kRanked = 4,
 };
 
-// "adaptive", "fixed" or "none"; nullopt for anything else.
+// "adaptive", "fixed", "none" or "ranked"; nullopt for anything else.
 std::optional<AdmissionPolicy> ParseAdmissionPolicy(std::string_view name);
 
 }  // namespace vanillatiller
--- /dev/null
+++ b/Source/eventio/eventio.h
@@ -0,0 +1,15 @@
+#ifndef VANILLATILLER_SOURCE_EVENTIO_EVENTIO_H_
+#define VANILLATILLER_SOURCE_EVENTIO_EVENTIO_H_
+
+// Public header of the event-driven input and output library: one thread, TCP
+// connections, and HTTP/1.1 on both sides with full control of each
+// connection.
+
+#include "eventio/event_loop.h"           // IWYU pragma: export
+#include "eventio/http_client_session.h"  // IWYU pragma: export
+#include "eventio/http_message.h"         // IWYU pragma: export
+#include "eventio/http_reader.h"          // IWYU pragma: export
+#include "eventio/http_server_session.h"  // IWYU pragma: export
+#include "eventio/tcp_connection.h"       // IWYU pragma: export
+
+#endif  // VANILLATILLER_SOURCE_EVENTIO_EVENTIO_H_
--- /dev/null
+++ b/Source/eventio/http_client_session.cc
@@ -0,0 +1,166 @@
+#include "eventio/http_client_session.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/match.h"
+#include "absl/strings/numbers.h"
+
+namespace vanillatiller {
+namespace {
+
+constexpr int kFirstFinalStatus = 200;
+
+// Idle timeout of a "Keep-Alive: timeout=SECONDS" field.
+std::optional<std::chrono::seconds> ParseKeepAlive(std::string_view value) {
+  constexpr std::string_view kName = "timeout=";
+  const size_t at = value.find(kName);
+  if (at == std::string_view::npos) return std::nullopt;
+  std::string_view digits = value.substr(at + kName.size());
+  digits = digits.substr(0, digits.find_first_not_of("0123456789"));
+  uint32_t seconds = 0;
+  if (!absl::SimpleAtoi(std::string(digits), &seconds)) return std::nullopt;
+  return std::chrono::seconds(seconds);
+}
+
+}  // namespace
+
+HttpClientSession::HttpClientSession(EventLoop* loop,
+                                     const SocketAddress& address,
+                                     std::string id_header)
+    : m_loop(loop),
+      m_address(address),
+      m_id_header(std::move(id_header)),
+      m_reader(HttpReader::Kind::kResponses, {}) {}
+
+void HttpClientSession::Send(const HttpRequest& request, Done done,
+                             TimePoint now) {
+  m_done = std::move(done);
+  m_reader.ExpectNoBody(request.method == "HEAD");
+  m_request_id = m_id_header.empty()
+                     ? ""
+                     : request.headers.Find(m_id_header).value_or("");
+  std::string text = FormatRequest(request);
+  if (m_connection && m_connection->IsOpen()) {
+    m_reusable = false;
+    m_connection->Write(std::move(text));
+    return;
+  }
+  m_unsent = std::move(text);
+  m_connection = TcpConnection::Connect(m_loop, m_address, this);
+  m_connect_timer = m_loop->Schedule(
+      now + kConnectTimeout, [weak = weak_from_this()](TimePoint later) {
+        if (const auto self = weak.lock()) {
+          self->Close();
+          self->Finish({ExchangeEnd::kNotSent, {}}, later);
+        }
+      });
+}
+
+void HttpClientSession::OnConnected(TimePoint) {
+  m_loop->Cancel(&m_connect_timer);
+  m_connection->Write(std::exchange(m_unsent, {}));
+}
+
+void HttpClientSession::OnData(std::string_view data, TimePoint now) {
+  const std::shared_ptr<HttpClientSession> self = shared_from_this();
+  while (!data.empty()) {
+    // Bytes that no request waits for belong to none.
+    if (!m_done) {
+      Close();
+      return;
+    }
+    switch (m_reader.Read(&data)) {
+      case HttpReader::Result::kNeedsMore:
+        return;
+      case HttpReader::Result::kMessage:
+        TakeMessage(!data.empty(), now);
+        if (!m_connection) return;
+        break;
+      case HttpReader::Result::kError:
+      case HttpReader::Result::kTooLarge:
+        Close();
+        Finish({ExchangeEnd::kNoAnswer, {}}, now);
+        return;
+    }
+  }
+}
+
+void HttpClientSession::TakeMessage(bool more_data, TimePoint now) {
+  ReadMessage message = m_reader.Take();
+  if (message.status < kFirstFinalStatus) return;
+  const auto id = message.headers.Find(m_id_header);
+  if (!m_request_id.empty() && id && *id != m_request_id) {
+    // The late second answer to an earlier request.
+    return;
+  }
+  m_reusable = message.keep_alive && !more_data &&
+               m_connection->UnsentBytes() == 0;
+  NoteKeepAlive(message, now);
+  if (!m_reusable) Close();
+  Finish({ExchangeEnd::kAnswered,
+          HttpResponse{message.status, std::move(message.headers),
+                       std::move(message.body)}},
+         now);
+}
+
+void HttpClientSession::NoteKeepAlive(const ReadMessage& message,
+                                      TimePoint now) {
+  Duration reuse = kDefaultIdleReuse;
+  if (const auto field = message.headers.Find("keep-alive")) {
+    if (const auto timeout = ParseKeepAlive(*field)) {
+      reuse = *timeout - std::min<Duration>(kIdleMargin, *timeout / 2);
+    }
+  }
+  m_reusable_until = now + reuse;
+}
+
+void HttpClientSession::OnEnd(ConnectionEnd end, TimePoint now) {
+  const std::shared_ptr<HttpClientSession> self = shared_from_this();
+  const bool was_sent = m_unsent.empty();
+  m_connection.reset();
+  m_reusable = false;
+  m_loop->Cancel(&m_connect_timer);
+  if (!m_done) return;
+  if (!was_sent) {
+    Finish({ExchangeEnd::kNotSent, {}}, now);
+    return;
+  }
+  // Only an orderly close completes a response without a length.
+  if (end == ConnectionEnd::kClosed &&
+      m_reader.ReadEnd() == HttpReader::Result::kMessage) {
+    ReadMessage message = m_reader.Take();
+    const auto id = message.headers.Find(m_id_header);
+    if (m_request_id.empty() || !id || *id == m_request_id) {
+      Finish({ExchangeEnd::kAnswered,
+              HttpResponse{message.status, std::move(message.headers),
+                           std::move(message.body)}},
+             now);
+      return;
+    }
+  }
+  Finish({ExchangeEnd::kNoAnswer, {}}, now);
+}
+
+void HttpClientSession::Finish(ExchangeResult result, TimePoint now) {
+  if (Done done = std::exchange(m_done, nullptr)) done(std::move(result), now);
+}
+
+void HttpClientSession::Abort() {
+  m_done = nullptr;
+  Close();
+}
+
+void HttpClientSession::Close() {
+  m_reusable = false;
+  m_loop->Cancel(&m_connect_timer);
+  if (!m_connection) return;
+  m_connection->Close();
+  m_connection.reset();
+}
+
+bool HttpClientSession::IsReusable(TimePoint now) const {
+  return m_connection && m_reusable && now < m_reusable_until;
+}
+
+}  // namespace vanillatiller
--- /dev/null
+++ b/Source/eventio/http_reader.h
@@ -0,0 +1,87 @@
+#ifndef VANILLATILLER_SOURCE_EVENTIO_HTTP_READER_H_
+#define VANILLATILLER_SOURCE_EVENTIO_HTTP_READER_H_
+
+#include <http_parser.h>
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <string_view>
+
+#include "eventio/http_message.h"
+
+namespace vanillatiller {
+
+// One complete message as it was read.
+struct ReadMessage {
+  // Requests only.
+  std::string method;
+  std::string target;
+  // Responses only.
+  int status = 0;
+  HttpHeaders headers;
+  std::string body;
+  // The sender keeps the connection open.
+  bool keep_alive = false;
+};
+
+// Reads HTTP/1.1 messages of one connection, strictly: a message that two
+// readers could frame differently is an error. Stops after each message.
+class HttpReader {
+ public:
+  enum class Kind : uint8_t { kRequests, kResponses };
+  enum class Result : uint8_t { kNeedsMore, kMessage, kError, kTooLarge };
+
+  struct Limits {
+    size_t max_header_bytes = size_t{64} << 10;
+    size_t max_body_bytes = size_t{64} << 20;
+  };
+
+  HttpReader(Kind kind, Limits limits);
+  HttpReader(const HttpReader&) = delete;
+  HttpReader& operator=(const HttpReader&) = delete;
+
+  // Reads up to the end of one message and removes what it read from `data`.
+  // After kMessage, Take() gives the message.
+  Result Read(std::string_view* data);
+  // The connection was closed in order: kMessage if that completes a response
+  // without a length.
+  Result ReadEnd();
+  ReadMessage Take();
+
+  // The next response answers a HEAD request.
+  void ExpectNoBody(bool expected) { m_no_body = expected; }
+  // Bytes of an incomplete message were read.
+  bool IsInMessage() const { return m_in_message; }
+  // The headers of the present message are complete.
+  bool AreHeadersComplete() const { return m_headers_complete; }
+  const ReadMessage& Current() const { return m_message; }
+
+ private:
+  static HttpReader* Self(http_parser* parser);
+  static int OnMessageBegin(http_parser* parser);
+  static int OnTarget(http_parser* parser, const char* data, size_t size);
+  static int OnField(http_parser* parser, const char* data, size_t size);
+  static int OnValue(http_parser* parser, const char* data, size_t size);
+  static int OnHeadersComplete(http_parser* parser);
+  static int OnBody(http_parser* parser, const char* data, size_t size);
+  static int OnMessageComplete(http_parser* parser);
+  static const http_parser_settings& Callbacks();
+
+  bool CountHeaderBytes(size_t size);
+
+  const Limits m_limits;
+  http_parser m_parser;
+  ReadMessage m_message;
+  size_t m_header_bytes = 0;
+  bool m_in_message = false;
+  bool m_headers_complete = false;
+  bool m_complete = false;
+  bool m_too_large = false;
+  bool m_no_body = false;
+  bool m_last_was_value = true;
+};
+
+}  // namespace vanillatiller
+
+#endif  // VANILLATILLER_SOURCE_EVENTIO_HTTP_READER_H_
--- /dev/null
+++ b/Source/eventio/tcp_connection.cc
@@ -0,0 +1,263 @@
+#include "eventio/tcp_connection.h"
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <utility>
+
+#include "absl/strings/numbers.h"
+
+namespace vanillatiller {
+namespace {
+
+// Unacknowledged data, or an unanswered keep-alive probe, ends a connection
+// after this time, in milliseconds: a partition gives no other sign.
+constexpr unsigned kUserTimeoutMs = 5000;
+// Idle time before the first keep-alive probe and between probes, in seconds.
+constexpr unsigned kKeepAliveSeconds = 2;
+
+struct WriteRequest {
+  uv_write_t request;
+  std::string data;
+  std::shared_ptr<TcpConnection> connection;
+};
+
+}  // namespace
+
+std::optional<SocketAddress> ParseSocketAddress(std::string_view text) {
+  const size_t colon = text.rfind(':');
+  if (colon == std::string_view::npos) return std::nullopt;
+  SocketAddress address{std::string(text.substr(0, colon)), 0};
+  uint32_t port = 0;
+  sockaddr_in parsed;
+  if (!absl::SimpleAtoi(std::string(text.substr(colon + 1)), &port) ||
+      port == 0 || port > UINT16_MAX ||
+      uv_ip4_addr(address.ip.c_str(), static_cast<int>(port), &parsed) != 0) {
+    return std::nullopt;
+  }
+  address.port = static_cast<uint16_t>(port);
+  return address;
+}
+
+TcpConnection::TcpConnection(EventLoop* loop) : m_loop(loop) {
+  uv_tcp_init(loop->raw(), &m_tcp);
+  m_tcp.data = this;
+}
+
+std::shared_ptr<TcpConnection> TcpConnection::Connect(
+    EventLoop* loop, const SocketAddress& address, TcpHandler* handler) {
+  std::shared_ptr<TcpConnection> connection(new TcpConnection(loop));
+  connection->m_self = connection;
+  connection->m_handler = handler;
+  sockaddr_in target;
+  uv_ip4_addr(address.ip.c_str(), address.port, &target);
+  auto* request = new uv_connect_t;
+  request->data = connection.get();
+  const int error = uv_tcp_connect(
+      request, &connection->m_tcp, reinterpret_cast<const sockaddr*>(&target),
+      [](uv_connect_t* done, int status) {
+        auto* self = static_cast<TcpConnection*>(done->data);
+        delete done;
+        if (status == UV_ECANCELED || self->m_state != State::kConnecting) {
+          return;
+        }
+        if (status != 0) {
+          self->End(ConnectionEnd::kFailed);
+          return;
+        }
+        self->Open();
+        self->m_handler->OnConnected(BootClock::now());
+      });
+  if (error != 0) {
+    delete request;
+    // Reported from the loop, so that the caller has the connection first.
+    loop->Schedule(TimePoint{}, [weak = std::weak_ptr(connection)](TimePoint) {
+      const auto self = weak.lock();
+      if (self && self->m_state != State::kEnded) {
+        self->End(ConnectionEnd::kFailed);
+      }
+    });
+  }
+  return connection;
+}
+
+void TcpConnection::Open() {
+  m_state = State::kOpen;
+  uv_tcp_nodelay(&m_tcp, 1);
+  SetKeepAlive();
+  StartReading();
+}
+
+void TcpConnection::SetKeepAlive() {
+  uv_tcp_keepalive(&m_tcp, 1, kKeepAliveSeconds);
+  uv_os_fd_t fd = -1;
+  if (uv_fileno(reinterpret_cast<uv_handle_t*>(&m_tcp), &fd) != 0) return;
+  setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &kUserTimeoutMs,
+             sizeof(kUserTimeoutMs));
+  setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &kKeepAliveSeconds,
+             sizeof(kKeepAliveSeconds));
+}
+
+void TcpConnection::StartReading() {
+  m_reading = true;
+  uv_read_start(
+      reinterpret_cast<uv_stream_t*>(&m_tcp),
+      [](uv_handle_t* handle, size_t, uv_buf_t* buffer) {
+        *buffer = static_cast<TcpConnection*>(handle->data)
+                      ->m_loop->ReadBuffer();
+      },
+      [](uv_stream_t* stream, ssize_t count, const uv_buf_t* buffer) {
+        auto* self = static_cast<TcpConnection*>(stream->data);
+        const size_t bytes = count > 0 ? static_cast<size_t>(count) : 0;
+        self->OnRead(count, std::string_view(buffer->base, bytes));
+      });
+}
+
+void TcpConnection::OnRead(ssize_t count, std::string_view data) {
+  if (count == 0) return;
+  if (m_state == State::kFinishing) {
+    if (count < 0) Close();
+    return;
+  }
+  if (count > 0) {
+    m_handler->OnData(data, BootClock::now());
+    return;
+  }
+  End(count == UV_EOF ? ConnectionEnd::kClosed : ConnectionEnd::kFailed);
+}
+
+void TcpConnection::End(ConnectionEnd end) {
+  if (m_state == State::kEnded) return;
+  TcpHandler* handler = m_handler;
+  Close();
+  if (handler != nullptr) handler->OnEnd(end, BootClock::now());
+}
+
+void TcpConnection::Write(std::string data) {
+  if (m_state != State::kOpen || data.empty()) return;
+  auto* stream = reinterpret_cast<uv_stream_t*>(&m_tcp);
+  if (uv_stream_get_write_queue_size(stream) == 0) {
+    uv_buf_t buffer = uv_buf_init(data.data(), data.size());
+    const int sent = uv_try_write(stream, &buffer, 1);
+    if (sent == static_cast<int>(data.size())) return;
+    if (sent > 0) data.erase(0, static_cast<size_t>(sent));
+  }
+  auto* write = new WriteRequest{{}, std::move(data), shared_from_this()};
+  write->request.data = write;
+  uv_buf_t buffer = uv_buf_init(write->data.data(), write->data.size());
+  const int error = uv_write(
+      &write->request, stream, &buffer, 1, [](uv_write_t* done, int status) {
+        std::unique_ptr<WriteRequest> finished(
+            static_cast<WriteRequest*>(done->data));
+        if (status < 0 && status != UV_ECANCELED) {
+          finished->connection->End(ConnectionEnd::kFailed);
+        }
+      });
+  // The read side reports the broken connection.
+  if (error != 0) delete write;
+}
+
+size_t TcpConnection::UnsentBytes() const {
+  return m_state == State::kEnded
+             ? 0
+             : uv_stream_get_write_queue_size(
+                   reinterpret_cast<const uv_stream_t*>(&m_tcp));
+}
+
+void TcpConnection::Close() {
+  if (m_state == State::kEnded) return;
+  m_state = State::kEnded;
+  m_handler = nullptr;
+  m_loop->Cancel(&m_finish_timer);
+  uv_close(reinterpret_cast<uv_handle_t*>(&m_tcp), [](uv_handle_t* handle) {
+    static_cast<TcpConnection*>(handle->data)->m_self.reset();
+  });
+}
+
+void TcpConnection::CloseWhenSent() {
+  if (m_state != State::kOpen) {
+    Close();
+    return;
+  }
+  m_state = State::kFinishing;
+  m_handler = nullptr;
+  if (!m_reading) StartReading();
+  auto* request = new uv_shutdown_t;
+  const int error = uv_shutdown(request, reinterpret_cast<uv_stream_t*>(&m_tcp),
+                                [](uv_shutdown_t* done, int) { delete done; });
+  if (error != 0) {
+    delete request;
+    Close();
+    return;
+  }
+  m_finish_timer =
+      m_loop->Schedule(BootClock::now() + kFinishWait,
+                       [weak = weak_from_this()](TimePoint) {
+                         if (const auto self = weak.lock()) self->Close();
+                       });
+}
+
+void TcpConnection::PauseReading() {
+  if (m_state != State::kOpen || !m_reading) return;
+  m_reading = false;
+  uv_read_stop(reinterpret_cast<uv_stream_t*>(&m_tcp));
+}
+
+void TcpConnection::ResumeReading() {
+  if (m_state != State::kOpen || m_reading) return;
+  StartReading();
+}
+
+TcpListener::TcpListener(EventLoop* loop, Accepted accepted)
+    : m_loop(loop), m_accepted(std::move(accepted)), m_tcp(new uv_tcp_t) {
+  uv_tcp_init(loop->raw(), m_tcp);
+  m_tcp->data = this;
+}
+
+TcpListener::~TcpListener() {
+  m_tcp->data = nullptr;
+  uv_close(reinterpret_cast<uv_handle_t*>(m_tcp), [](uv_handle_t* handle) {
+    delete reinterpret_cast<uv_tcp_t*>(handle);
+  });
+}
+
+std::unique_ptr<TcpListener> TcpListener::Listen(EventLoop* loop,
+                                                 const SocketAddress& address,
+                                                 Accepted accepted,
+                                                 std::string* reason) {
+  std::unique_ptr<TcpListener> listener(
+      new TcpListener(loop, std::move(accepted)));
+  sockaddr_in bound;
+  int error = uv_ip4_addr(address.ip.c_str(), address.port, &bound);
+  if (error == 0) {
+    error = uv_tcp_bind(listener->m_tcp,
+                        reinterpret_cast<const sockaddr*>(&bound), 0);
+  }
+  if (error == 0) {
+    error = uv_listen(
+        reinterpret_cast<uv_stream_t*>(listener->m_tcp), kBacklog,
+        [](uv_stream_t* server, int status) {
+          auto* self = static_cast<TcpListener*>(server->data);
+          if (status != 0 || self == nullptr) return;
+          std::shared_ptr<TcpConnection> connection(
+              new TcpConnection(self->m_loop));
+          connection->m_self = connection;
+          if (uv_accept(server, reinterpret_cast<uv_stream_t*>(
+                                    &connection->m_tcp)) != 0) {
+            connection->Close();
+            return;
+          }
+          self->m_accepted(connection, BootClock::now());
+          if (connection->m_state == TcpConnection::State::kConnecting) {
+            connection->Open();
+          }
+        });
+  }
+  if (error != 0) {
+    *reason = address.ToString() + ": " + uv_strerror(error);
+    return nullptr;
+  }
+  return listener;
+}
+
+}  // namespace vanillatiller
--- a/Source/node/log.cc
+++ b/Source/node/log.cc
@@ -30,34 +30,6 @@
   return *name;
 }
 
-bool NeedsQuotes(std::string_view value) {
-  return value.empty() ||
-         value.find_first_of(" \"=\n\t") != std::string_view::npos;
-}
-
-// Appends key=value; values with spaces are quoted and escaped so that one
-// event stays on one line.
-void AppendField(std::string_view key, std::string_view value,
-                 std::string* line) {
-  *line += " ";
-  *line += key;
-  *line += "=";
-  if (!NeedsQuotes(value)) {
-    *line += value;
-    return;
-  }
-  *line += '"';
-  for (const char c : value) {
-    if (c == '\n') {
-      *line += "\\n";
-      continue;
-    }
-    if (c == '"' || c == '\\') *line += '\\';
-    *line += c;
-  }
-  *line += '"';
-}
-
 }  // namespace
 
 void StartLog(LogLevel level, std::string_view vm) {
@@ -81,9 +53,9 @@
          std::initializer_list<LogField> fields) {
   std::string line = "event=";
   line += event;
-  AppendField("vm", VmName(), &line);
+  AppendLogField("vm", VmName(), &line);
   for (const LogField& field : fields) {
-    AppendField(field.key, field.value, &line);
+    AppendLogField(field.key, field.value, &line);
   }
   BOOST_LOG_STREAM_WITH_PARAMS(
       boost::log::trivial::logger::get(),
--- a/Source/node/log.h
+++ b/Source/node/log.h
@@ -5,15 +5,12 @@
 #include <string>
 #include <string_view>
 
+#include "base/base.h"
+
 namespace vanillatiller {
 
 enum class LogLevel { kDebug, kInfo, kWarning, kError };
 
-struct LogField {
-  std::string_view key;
-  std::string value;
-};
-
 // Sends log lines to standard error; events below `level` are dropped. The
 // node writes nothing to a disk.
 void StartLog(LogLevel level, std::string_view vm);
--- /dev/null
+++ b/Source/relay/call_executor.cc
@@ -0,0 +1,238 @@
+#include "relay/call_executor.h"
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+#include "relay/server_answer.h"
+
+namespace vanillatiller {
+
+CallExecutor::CallExecutor(EventLoop* loop, SocketAddress server,
+                           const ProtocolNames* names, EventLog* log,
+                           RelayMetrics* metrics, TimePoint now)
+    : m_loop(loop),
+      m_server(std::move(server)),
+      m_names(names),
+      m_log(log),
+      m_metrics(metrics) {
+  Findings findings;
+  m_admission = Admission::Builder()
+                    .SetSlots(m_slots)
+                    .SetPolicy(AdmissionPolicy::kRanked)
+                    .SetMaxQueueWait(kMaxQueueWait)
+                    .Build(now, &findings);
+}
+
+CallExecutor::~CallExecutor() = default;
+
+void CallExecutor::Resize(uint32_t slots, TimePoint) {
+  if (slots == 0 || slots == m_slots) return;
+  m_slots = slots;
+  m_admission->SetSlots(slots);
+}
+
+CallExecutor::Handle CallExecutor::Start(const relay::Call& call, Done done,
+                                         TimePoint now) {
+  // The caller's list may be newer than this node's own.
+  Resize(call.declared_slots(), now);
+  const Handle handle = ++m_last_handle;
+  LocalCall& local = m_calls[handle];
+  local.call = call;
+  local.done = std::move(done);
+  local.received = now;
+  local.deadline = now + std::chrono::microseconds(call.time_left_us());
+  if (m_leaving) {
+    Finish(handle, Refusal(RefusalCode::kLeaving, call), now);
+    return handle;
+  }
+  Work work;
+  work.id = handle;
+  work.shed_hash = call.shed_hash();
+  work.rank = call.rank();
+  work.deadline = local.deadline;
+  work.method = local.call.route();
+  AdmissionActions actions;
+  m_admission->Offer(work, now, &actions);
+  CarryOut(&actions, now);
+  return handle;
+}
+
+void CallExecutor::CarryOut(AdmissionActions* actions, TimePoint now) {
+  // Carrying out an action may end a call and so bring further actions.
+  for (size_t i = 0; i < actions->size(); ++i) {
+    const AdmissionAction action = (*actions)[i];
+    if (const auto* dispatch = std::get_if<Dispatch>(&action)) {
+      m_metrics->queue_wait.Add(dispatch->queue_wait);
+      Run(dispatch->id, now);
+      continue;
+    }
+    const Refuse& refuse = std::get<Refuse>(action);
+    const auto found = m_calls.find(refuse.id);
+    if (found == m_calls.end()) continue;
+    Finish(refuse.id, Refusal(refuse.code, found->second.call), now);
+  }
+}
+
+CallResult CallExecutor::Refusal(RefusalCode code,
+                                 const relay::Call&) const {
+  CallResult result;
+  result.outcome = Outcome::kNotRun;
+  result.code = code;
+  return result;
+}
+
+HttpRequest CallExecutor::RequestFor(const LocalCall& local,
+                                     TimePoint now) const {
+  HttpRequest request;
+  request.method = local.call.method();
+  request.target = local.call.target();
+  request.body = local.call.body();
+  request.headers = DecodeHeaders(local.call.headers());
+  const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
+      local.deadline - now);
+  request.headers.Add(m_names->time_left_ms,
+                      std::to_string(std::max<int64_t>(left.count(), 1)));
+  request.headers.Add(m_names->target_server, local.call.server_id());
+  return request;
+}
+
+void CallExecutor::Run(Handle handle, TimePoint now) {
+  const auto found = m_calls.find(handle);
+  if (found == m_calls.end()) return;
+  LocalCall& local = found->second;
+  local.dispatched = now;
+  local.session = TakeSession(now);
+  local.timer =
+      m_loop->Schedule(local.deadline + kOverrun, [this, handle](TimePoint t) {
+        const auto late = m_calls.find(handle);
+        if (late == m_calls.end()) return;
+        late->second.session->Abort();
+        CallResult result;
+        result.code = RefusalCode::kDeadlineExceeded;
+        Finish(handle, std::move(result), t);
+      });
+  local.session->Send(
+      RequestFor(local, now),
+      [this, handle](ExchangeResult exchange, TimePoint t) {
+        OnExchange(handle, std::move(exchange), t);
+      },
+      now);
+  local.call.clear_body();
+}
+
+void CallExecutor::OnExchange(Handle handle, ExchangeResult exchange,
+                              TimePoint now) {
+  const auto found = m_calls.find(handle);
+  if (found == m_calls.end()) return;
+  GiveBack(std::exchange(found->second.session, nullptr), now);
+  Finish(handle, JudgeExchange(std::move(exchange), *m_names), now);
+}
+
+void CallExecutor::Finish(Handle handle, CallResult result, TimePoint now) {
+  const auto found = m_calls.find(handle);
+  if (found == m_calls.end()) return;
+  LocalCall local = std::move(found->second);
+  m_calls.erase(found);
+  m_loop->Cancel(&local.timer);
+  const bool was_dispatched = local.dispatched != TimePoint{};
+  if (was_dispatched) m_metrics->server_time.Add(now - local.dispatched);
+  m_metrics->CountCall(result.outcome);
+  if (result.outcome != Outcome::kComplete) {
+    const auto id = DecodeHeaders(local.call.headers()).Find(m_names->request_id);
+    m_log->Write(
+        LogTopic::kRequest, "call-ended",
+        {{"request", std::string(id.value_or("-"))},
+         {"route", local.call.route()},
+         {"server", local.call.server_id()},
+         {"outcome", std::string(OutcomeName(result.outcome))},
+         {"reason", std::string(RefusalCodeName(result.code))},
+         {"waited_ms", std::to_string(ToMilliseconds(
+                           (was_dispatched ? local.dispatched : now) -
+                           local.received))},
+         {"in_flight", std::to_string(m_admission->State().in_flight)},
+         {"queued", std::to_string(m_admission->State().queued)},
+         {"limit", std::to_string(m_admission->State().limit)}},
+        now);
+  }
+  if (was_dispatched) FreeSlot(handle, result, now);
+  if (!local.is_cancelled) local.done(std::move(result), now);
+}
+
+void CallExecutor::FreeSlot(Handle handle, const CallResult& result,
+                            TimePoint now) {
+  BackendResult backend;
+  backend.outcome = BackendOutcome::kOk;
+  if (IsShed(result)) backend.outcome = BackendOutcome::kShed;
+  if (result.outcome == Outcome::kUnknown) {
+    backend.outcome = BackendOutcome::kFailed;
+  }
+  AdmissionActions actions;
+  m_admission->OnFinished(handle, backend, now, &actions);
+  CarryOut(&actions, now);
+}
+
+bool CallExecutor::Cancel(Handle handle, TimePoint now) {
+  const auto found = m_calls.find(handle);
+  if (found == m_calls.end()) return true;
+  LocalCall& local = found->second;
+  const bool is_running = local.dispatched != TimePoint{};
+  if (is_running && !local.call.idempotent()) return false;
+  local.is_cancelled = true;
+  if (!is_running) {
+    AdmissionActions actions;
+    m_admission->OnCancelled(handle, now, &actions);
+    CarryOut(&actions, now);
+    return true;
+  }
+  local.session->Abort();
+  CallResult result;
+  result.code = RefusalCode::kCancelled;
+  Finish(handle, std::move(result), now);
+  return true;
+}
+
+void CallExecutor::Leave(TimePoint now) {
+  m_leaving = true;
+  AdmissionActions actions;
+  m_admission->RefuseQueued(RefusalCode::kLeaving, now, &actions);
+  CarryOut(&actions, now);
+}
+
+void CallExecutor::OnServerChanged(uint32_t slots, bool is_cold,
+                                   TimePoint now) {
+  Resize(slots, now);
+  if (is_cold) m_admission->OnBackendRestarted(now);
+  m_idle.clear();
+}
+
+PeerLoad CallExecutor::Load() const {
+  const AdmissionState state = m_admission->State();
+  return {state.in_flight, state.queued, state.limit, m_leaving};
+}
+
+std::shared_ptr<HttpClientSession> CallExecutor::TakeSession(TimePoint now) {
+  while (!m_idle.empty()) {
+    std::shared_ptr<HttpClientSession> session = std::move(m_idle.back());
+    m_idle.pop_back();
+    if (session->IsReusable(now)) return session;
+  }
+  return std::make_shared<HttpClientSession>(m_loop, m_server,
+                                             m_names->request_id);
+}
+
+void CallExecutor::GiveBack(std::shared_ptr<HttpClientSession> session,
+                            TimePoint now) {
+  if (session && session->IsReusable(now)) m_idle.push_back(std::move(session));
+}
+
+void CallExecutor::Tick(TimePoint now) {
+  AdmissionActions actions;
+  m_admission->OnTick(now, &actions);
+  CarryOut(&actions, now);
+  std::erase_if(m_idle, [now](const std::shared_ptr<HttpClientSession>& item) {
+    return !item->IsReusable(now);
+  });
+}
+
+}  // namespace vanillatiller
--- /dev/null
+++ b/Source/relay/call_result.cc
@@ -0,0 +1,88 @@
+#include "relay/call_result.h"
+
+namespace vanillatiller {
+namespace {
+
+relay::Fate EncodeOutcome(Outcome outcome) {
+  switch (outcome) {
+    case Outcome::kComplete:
+      return relay::FATE_ANSWERED;
+    case Outcome::kNotRun:
+      return relay::FATE_NOT_RUN;
+    case Outcome::kUnknown:
+      break;
+  }
+  return relay::FATE_UNKNOWN;
+}
+
+// Fates of newer versions prove nothing.
+Outcome DecodeFate(relay::Fate fate) {
+  if (fate == relay::FATE_ANSWERED) return Outcome::kComplete;
+  if (fate == relay::FATE_NOT_RUN) return Outcome::kNotRun;
+  return Outcome::kUnknown;
+}
+
+}  // namespace
+
+void EncodeHeaders(const HttpHeaders& headers,
+                   google::protobuf::RepeatedPtrField<relay::Header>* encoded) {
+  for (const HttpHeader& field : headers.fields()) {
+    relay::Header* header = encoded->Add();
+    header->set_name(field.name);
+    header->set_value(field.value);
+  }
+}
+
+HttpHeaders DecodeHeaders(
+    const google::protobuf::RepeatedPtrField<relay::Header>& encoded) {
+  HttpHeaders headers;
+  for (const relay::Header& header : encoded) {
+    headers.Add(header.name(), header.value());
+  }
+  return headers;
+}
+
+relay::Load EncodeLoad(const PeerLoad& load) {
+  relay::Load encoded;
+  encoded.set_in_flight(load.in_flight);
+  encoded.set_queued(load.queued);
+  encoded.set_limit(load.concurrency_limit);
+  encoded.set_leaving(load.leaving);
+  return encoded;
+}
+
+PeerLoad DecodeLoad(const relay::Load& load) {
+  return {load.in_flight(), load.queued(), load.limit(), load.leaving()};
+}
+
+relay::Answer EncodeAnswer(uint64_t id, const CallResult& result) {
+  relay::Answer answer;
+  answer.set_id(id);
+  answer.set_fate(EncodeOutcome(result.outcome));
+  answer.set_reason(static_cast<uint32_t>(result.code));
+  if (result.outcome == Outcome::kComplete) {
+    answer.set_status(static_cast<uint32_t>(result.response.status));
+    EncodeHeaders(result.response.headers, answer.mutable_headers());
+    answer.set_body(result.response.body);
+  }
+  if (result.has_load) *answer.mutable_load() = EncodeLoad(result.load);
+  answer.set_wait_us(ToMicroseconds(result.expected_wait));
+  return answer;
+}
+
+CallResult DecodeAnswer(const relay::Answer& answer) {
+  CallResult result;
+  result.outcome = DecodeFate(answer.fate());
+  result.code = answer.reason() <= static_cast<uint32_t>(kLastRefusalCode)
+                    ? static_cast<RefusalCode>(answer.reason())
+                    : RefusalCode::kNone;
+  result.response.status = static_cast<int>(answer.status());
+  result.response.headers = DecodeHeaders(answer.headers());
+  result.response.body = answer.body();
+  result.has_load = answer.has_load();
+  result.load = DecodeLoad(answer.load());
+  result.expected_wait = std::chrono::microseconds(answer.wait_us());
+  return result;
+}
+
+}  // namespace vanillatiller
--- /dev/null
+++ b/Source/relay/event_log.cc
@@ -0,0 +1,64 @@
+#include "relay/event_log.h"
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/str_format.h"
+
+namespace vanillatiller {
+
+EventLog::EventLog(int fd, std::string vm) : m_fd(fd), m_vm(std::move(vm)) {
+  const int flags = fcntl(fd, F_GETFL);
+  if (flags >= 0) fcntl(fd, F_SETFL, flags | O_NONBLOCK);
+  for (Allowance& allowance : m_allowances) allowance.lines = kBurstLines;
+}
+
+bool EventLog::Take(LogTopic topic, TimePoint now) {
+  Allowance& allowance = m_allowances[static_cast<size_t>(topic)];
+  if (now > allowance.filled) {
+    const double passed =
+        std::chrono::duration<double>(now - allowance.filled).count();
+    allowance.lines =
+        std::min(kBurstLines, allowance.lines + passed * kLinesPerSecond);
+    allowance.filled = now;
+  }
+  if (allowance.lines < 1) return false;
+  allowance.lines -= 1;
+  return true;
+}
+
+void EventLog::Write(LogTopic topic, std::string_view event,
+                     std::initializer_list<LogField> fields, TimePoint now) {
+  if (m_buffer.size() >= kMaxBufferBytes || !Take(topic, now)) {
+    ++m_lost;
+    ++m_lost_total;
+    return;
+  }
+  const auto wall = std::chrono::system_clock::now().time_since_epoch();
+  m_buffer += absl::StrFormat("time=%.3f event=",
+                              std::chrono::duration<double>(wall).count());
+  m_buffer += event;
+  AppendLogField("vm", m_vm, &m_buffer);
+  for (const LogField& field : fields) {
+    AppendLogField(field.key, field.value, &m_buffer);
+  }
+  if (m_lost > 0) {
+    AppendLogField("lines_lost", std::to_string(std::exchange(m_lost, 0)),
+                   &m_buffer);
+  }
+  m_buffer += '\n';
+}
+
+void EventLog::Flush() {
+  while (!m_buffer.empty()) {
+    const ssize_t written = write(m_fd, m_buffer.data(), m_buffer.size());
+    // The reader is slow or gone; the rest is tried again at the next flush.
+    if (written <= 0) return;
+    m_buffer.erase(0, static_cast<size_t>(written));
+  }
+}
+
+}  // namespace vanillatiller
--- /dev/null
+++ b/Source/relay/placement.cc
@@ -0,0 +1,114 @@
+#include "relay/placement.h"
+
+#include <algorithm>
+#include <boost/random/uniform_01.hpp>
+#include <utility>
+
+namespace vanillatiller {
+namespace {
+
+// Load, as a part of a server's limit, that a call accepts to stay on its VM,
+// in its failure domain, or in its region.
+constexpr double kSameDomainDistance = 0.02;
+constexpr double kSameRegionDistance = 0.1;
+constexpr double kOtherRegionDistance = 0.45;
+// Time after which a node that said it is leaving is tried again: a restart in
+// place takes no longer.
+constexpr Duration kLeavingLifetime = std::chrono::seconds(4);
+// Random addition that keeps nodes with equal views from choosing alike.
+constexpr double kJitter = 0.05;
+
+}  // namespace
+
+double Placement::DistanceTo(const ServerRecord& server) const {
+  if (server.address.ip == m_locality.vm_ip) return 0;
+  if (server.failure_domain == m_locality.failure_domain) {
+    return kSameDomainDistance;
+  }
+  const auto own = m_locality.regions.find(m_locality.failure_domain);
+  const auto other = m_locality.regions.find(server.failure_domain);
+  const bool same_region = own != m_locality.regions.end() &&
+                           other != m_locality.regions.end() &&
+                           own->second == other->second;
+  return same_region ? kSameRegionDistance : kOtherRegionDistance;
+}
+
+void Placement::Update(std::span<const ServerRecord* const> servers,
+                       TimePoint now) {
+  // Servers of the first list run already, most of them for long.
+  const bool may_be_cold = m_was_updated;
+  m_was_updated = true;
+  std::map<std::string, std::shared_ptr<PeerState>> known;
+  for (const auto& [service, candidates] : m_services) {
+    for (const Candidate& candidate : candidates) {
+      known[candidate.id] = candidate.state;
+    }
+  }
+  m_services.clear();
+  for (const ServerRecord* server : servers) {
+    Candidate candidate;
+    candidate.id = server->id;
+    candidate.service = server->service;
+    candidate.server = server->address;
+    candidate.node = {server->address.ip, m_locality.peer_port};
+    candidate.slots = server->slots;
+    candidate.distance = DistanceTo(*server);
+    const auto found = known.find(server->id);
+    candidate.state =
+        found != known.end()
+            ? found->second
+            : std::make_shared<PeerState>(
+                  now, may_be_cold && server->warmup_left > Duration::zero());
+    m_services[server->service].push_back(std::move(candidate));
+  }
+}
+
+const Candidate* Placement::Pick(std::string_view service,
+                                 std::span<const std::string> excluded,
+                                 TimePoint now, Generator* random) const {
+  const auto found = m_services.find(service);
+  if (found == m_services.end()) return nullptr;
+  const Candidate* best = nullptr;
+  bool best_is_ejected = true;
+  double best_cost = 0;
+  boost::random::uniform_01<double> draw;
+  for (const Candidate& candidate : found->second) {
+    const PeerState& state = *candidate.state;
+    const bool is_leaving =
+        state.IsLeaving() && now - state.reported_at() < kLeavingLifetime;
+    if (is_leaving ||
+        std::find(excluded.begin(), excluded.end(), candidate.id) !=
+            excluded.end()) {
+      continue;
+    }
+    const bool is_ejected = state.IsEjected(now);
+    const double cost = state.Load(candidate.slots, now) +
+                        candidate.distance + kJitter * draw(*random);
+    const bool is_better =
+        best == nullptr || (best_is_ejected && !is_ejected) ||
+        (best_is_ejected == is_ejected && cost < best_cost);
+    if (!is_better) continue;
+    best = &candidate;
+    best_is_ejected = is_ejected;
+    best_cost = cost;
+  }
+  return best;
+}
+
+size_t Placement::CountOf(std::string_view service) const {
+  const auto found = m_services.find(service);
+  return found == m_services.end() ? 0 : found->second.size();
+}
+
+std::vector<const Candidate*> Placement::AtNode(
+    const SocketAddress& node) const {
+  std::vector<const Candidate*> found;
+  for (const auto& [service, candidates] : m_services) {
+    for (const Candidate& candidate : candidates) {
+      if (candidate.node == node) found.push_back(&candidate);
+    }
+  }
+  return found;
+}
+
+}  // namespace vanillatiller
--- /dev/null
+++ b/Source/relay/refusal_policy.cc
@@ -0,0 +1,24 @@
+#include "relay/refusal_policy.h"
+
+#include <algorithm>
+
+namespace vanillatiller {
+namespace {
+
+// Bounds of the wait; below the first, a caller would meet the same queue.
+constexpr Duration kShortest = std::chrono::milliseconds(100);
+constexpr Duration kLongest = std::chrono::seconds(2);
+// Part of the time left that a caller may spend on waiting: the second try
+// needs the rest.
+constexpr int kPartOfTimeLeft = 4;
+
+}  // namespace
+
+Duration RetryAfter(Duration expected_wait, Duration time_left, double draw) {
+  const Duration base = std::clamp(expected_wait, kShortest, kLongest);
+  const auto spread = std::chrono::duration_cast<Duration>(base * draw);
+  const Duration most = std::max(kShortest, time_left / kPartOfTimeLeft);
+  return std::min(base + spread, most);
+}
+
+}  // namespace vanillatiller
--- /dev/null
+++ b/Source/relay/relay.cc
@@ -0,0 +1,279 @@
+#include "relay/relay.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace vanillatiller {
+
+// Answers status checks and metrics.
+class Relay::HealthFront : public HttpRequestHandler {
+ public:
+  explicit HealthFront(Relay* relay) : m_relay(relay) {}
+
+  void OnRequest(const std::shared_ptr<HttpServerSession>& session,
+                 HttpRequest request, TimePoint now) override {
+    HttpResponse response;
+    if (request.target == "/metrics") {
+      response.status = 200;
+      response.headers.Add("Content-Type", "text/plain; version=0.0.4");
+      response.body = m_relay->m_metrics.Format();
+    } else {
+      response.status = m_relay->IsReady() ? 200 : 503;
+    }
+    session->Respond(response, now);
+  }
+
+  void OnCallerGone(const std::shared_ptr<HttpServerSession>&,
+                    TimePoint) override {}
+
+ private:
+  Relay* m_relay;
+};
+
+Relay::Relay(EventLoop* loop, const RelaySettings& settings, EventLog* log,
+             TimePoint now)
+    : m_loop(loop),
+      m_settings(settings),
+      m_log(log),
+      m_placement(settings.locality),
+      m_executor(loop, settings.server, &m_settings.names, log, &m_metrics,
+                 now),
+      m_peer_server(loop, settings.incarnation, this),
+      m_origin(loop, &m_settings.names, settings.service, &m_placement, this,
+               settings.retry_budget, log, &m_metrics, settings.incarnation),
+      m_health(std::make_unique<HealthFront>(this)) {}
+
+Relay::~Relay() = default;
+
+bool Relay::Start(std::string* reason) {
+  struct Front {
+    SocketAddress address;
+    TcpListener::Accepted accepted;
+  };
+  const std::vector<Front> fronts = {
+      {m_settings.health_listener,
+       [this](std::shared_ptr<TcpConnection> connection, TimePoint now) {
+         HttpServerSession::Start(m_loop, std::move(connection), m_health.get(),
+                                  {}, now);
+       }},
+      {m_settings.caller_listener,
+       [this](std::shared_ptr<TcpConnection> connection, TimePoint now) {
+         AcceptCaller(std::move(connection), now);
+       }},
+      {m_settings.peer_listener,
+       [this](std::shared_ptr<TcpConnection> connection, TimePoint) {
+         m_peer_server.Accept(std::move(connection));
+       }},
+  };
+  for (const Front& front : fronts) {
+    auto listener =
+        TcpListener::Listen(m_loop, front.address, front.accepted, reason);
+    if (!listener) return false;
+    m_listeners.push_back(std::move(listener));
+  }
+  TickOften(BootClock::now());
+  return true;
+}
+
+bool Relay::IsReady() const {
+  return m_origin.config_version() != 0 && m_has_servers && !m_stopped;
+}
+
+void Relay::AcceptCaller(std::shared_ptr<TcpConnection> connection,
+                         TimePoint now) {
+  m_caller_sessions.push_back(HttpServerSession::Start(
+      m_loop, std::move(connection), &m_origin, m_caller_limits, now));
+}
+
+void Relay::ApplyConfig(const RelayConfig& config, TimePoint now) {
+  if (config.version <= m_origin.config_version()) return;
+  m_log->Write(LogTopic::kBelief, "config",
+               {{"version", std::to_string(config.version)},
+                {"before", std::to_string(m_origin.config_version())},
+                {"routes", std::to_string(config.routes.size())}},
+               now);
+  m_caller_limits.message = {config.limits.max_header_bytes,
+                             config.limits.max_body_bytes};
+  m_caller_limits.header_timeout = config.limits.header_timeout;
+  m_caller_limits.idle_timeout = config.limits.idle_timeout;
+  m_origin.SetRoutes(std::make_shared<const RouteTable>(config));
+}
+
+void Relay::ApplyServer(const ServerRecord& record, TimePoint now) {
+  if (m_directory.Apply(record, now)) OnServersChanged(now);
+}
+
+void Relay::RemoveServer(std::string_view id, uint64_t revision,
+                         TimePoint now) {
+  if (m_directory.Remove(id, revision, now)) OnServersChanged(now);
+}
+
+void Relay::ApplyServers(const std::vector<ServerRecord>& list,
+                         uint64_t revision, TimePoint now) {
+  const bool is_first = !std::exchange(m_has_servers, true);
+  if (m_directory.ApplyList(list, revision, now) > 0 || is_first) {
+    OnServersChanged(now);
+  }
+}
+
+void Relay::OnPlatformRestored(TimePoint now) {
+  m_directory.OnSourceRestored(now);
+}
+
+void Relay::OnServersChanged(TimePoint now) {
+  const auto usable = m_directory.Usable(now);
+  m_placement.Update(usable, now);
+  m_log->Write(LogTopic::kBelief, "servers",
+               {{"usable", std::to_string(usable.size())},
+                {"known", std::to_string(m_directory.size())},
+                {"revision", std::to_string(m_directory.revision())}},
+               now);
+  const ServerRecord* own =
+      m_directory.FindByAddress(m_settings.server, now);
+  if (own != nullptr && (own->id != m_server_id ||
+                         own->started_ms != m_server_started_ms)) {
+    m_executor.OnServerChanged(own->slots, own->warmup_left > Duration::zero(),
+                               now);
+    m_server_id = own->id;
+    m_server_started_ms = own->started_ms;
+  }
+  if (const auto next = m_directory.NextExpiry(now)) {
+    m_loop->Schedule(*next,
+                     [this](TimePoint later) { OnServersChanged(later); });
+  }
+}
+
+PeerClient& Relay::ClientFor(const SocketAddress& node) {
+  std::unique_ptr<PeerClient>& client = m_clients[node];
+  if (client) return *client;
+  relay::Hello hello;
+  hello.set_incarnation(m_settings.incarnation);
+  hello.set_address(m_settings.peer_listener.ToString());
+  PeerClient::Events events;
+  events.on_load = [this, node](const PeerLoad& load, TimePoint now) {
+    for (const Candidate* candidate : m_placement.AtNode(node)) {
+      candidate->state->OnReport(load, now);
+    }
+  };
+  events.on_frame = [](const relay::Frame&, TimePoint) {};
+  events.on_change = [this, node](std::string_view what, TimePoint now) {
+    m_log->Write(LogTopic::kBelief, "peer",
+                 {{"node", node.ToString()}, {"change", std::string(what)}},
+                 now);
+  };
+  client =
+      std::make_unique<PeerClient>(m_loop, node, hello, std::move(events));
+  return *client;
+}
+
+void Relay::Call(const Candidate& server, const relay::Call& call, Done done,
+                 TimePoint now) {
+  if (server.node != m_settings.peer_listener) {
+    ClientFor(server.node).Call(call, std::move(done), now);
+    return;
+  }
+  const uint64_t id = call.id();
+  m_own_calls[id] = 0;
+  const CallExecutor::Handle handle = m_executor.Start(
+      call,
+      [this, id, done = std::move(done)](CallResult result, TimePoint later) {
+        m_own_calls.erase(id);
+        result.has_load = true;
+        result.load = m_executor.Load();
+        done(std::move(result), later);
+      },
+      now);
+  const auto found = m_own_calls.find(id);
+  if (found != m_own_calls.end()) found->second = handle;
+}
+
+void Relay::Cancel(const SocketAddress& node, uint64_t call_id,
+                   TimePoint now) {
+  if (node != m_settings.peer_listener) {
+    ClientFor(node).Cancel(call_id);
+    return;
+  }
+  const auto found = m_own_calls.find(call_id);
+  if (found == m_own_calls.end()) return;
+  if (m_executor.Cancel(found->second, now)) m_own_calls.erase(call_id);
+}
+
+void Relay::OnPeerCall(const PeerCallKey& key, const relay::Call& call,
+                       TimePoint now) {
+  m_peer_calls[key] = 0;
+  const CallExecutor::Handle handle = m_executor.Start(
+      call,
+      [this, key](const CallResult& result, TimePoint) {
+        m_peer_calls.erase(key);
+        m_peer_server.Answer(key, result);
+      },
+      now);
+  const auto found = m_peer_calls.find(key);
+  if (found != m_peer_calls.end()) found->second = handle;
+}
+
+void Relay::OnPeerCancel(const PeerCallKey& key, TimePoint now) {
+  const auto found = m_peer_calls.find(key);
+  if (found == m_peer_calls.end()) return;
+  if (!m_executor.Cancel(found->second, now)) return;
+  m_peer_calls.erase(key);
+  m_peer_server.Forget(key);
+}
+
+void Relay::OnPeerFrame(const relay::Frame&,
+                        const std::function<void(const relay::Frame&)>&,
+                        TimePoint) {}
+
+void Relay::TickOften(TimePoint now) {
+  m_executor.Tick(now);
+  if (now >= m_next_long_tick) {
+    m_next_long_tick = now + kLongTick;
+    TickSeldom(now);
+  }
+  const Duration period = m_executor.Load().queued > 0 ? kShortTick : kLongTick;
+  m_loop->Schedule(now + period,
+                   [this](TimePoint later) { TickOften(later); });
+}
+
+void Relay::TickSeldom(TimePoint now) {
+  for (const auto& [node, client] : m_clients) client->Tick(now);
+  m_peer_server.Tick(now);
+  std::erase_if(m_caller_sessions,
+                [](const auto& session) { return session.expired(); });
+  const PeerLoad load = m_executor.Load();
+  m_metrics.gauges["in_flight"] = load.in_flight;
+  m_metrics.gauges["queued"] = load.queued;
+  m_metrics.gauges["concurrency_limit"] = load.concurrency_limit;
+  m_metrics.gauges["config_version"] =
+      static_cast<double>(m_origin.config_version());
+  m_metrics.gauges["log_lines_lost"] = static_cast<double>(m_log->lost());
+  m_log->Flush();
+  if (m_stopped) ContinueStop(now);
+}
+
+void Relay::Stop(std::function<void()> stopped, TimePoint now) {
+  if (m_stopped) return;
+  m_stopped = std::move(stopped);
+  m_stop_began = now;
+  m_log->Write(LogTopic::kBelief, "stopping", {}, now);
+  m_executor.Leave(now);
+  m_peer_server.BroadcastLoad();
+}
+
+void Relay::ContinueStop(TimePoint now) {
+  if (now - m_stop_began < kStopNotice) return;
+  m_origin.Leave();
+  for (const auto& weak : m_caller_sessions) {
+    if (const auto session = weak.lock()) session->CloseAfterAnswer();
+  }
+  const bool is_idle = m_origin.IsIdle() && m_executor.IsIdle();
+  if (!is_idle && now - m_stop_began < m_settings.stop_grace - kStopMargin) {
+    return;
+  }
+  m_log->Write(LogTopic::kBelief, "stopped",
+               {{"idle", is_idle ? "yes" : "no"}}, now);
+  m_log->Flush();
+  m_stopped();
+}
+
+}  // namespace vanillatiller
--- /dev/null
+++ b/Source/relay/relay.h
@@ -0,0 +1,130 @@
+#ifndef VANILLATILLER_SOURCE_RELAY_RELAY_H_
+#define VANILLATILLER_SOURCE_RELAY_RELAY_H_
+
+// Public header of the relay library: the event-driven path of a request from a
+// caller on this VM to a server beside another node, and back.
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "eventio/eventio.h"
+#include "relay/call_executor.h"     // IWYU pragma: export
+#include "relay/event_log.h"         // IWYU pragma: export
+#include "relay/peer_client.h"       // IWYU pragma: export
+#include "relay/peer_server.h"       // IWYU pragma: export
+#include "relay/placement.h"         // IWYU pragma: export
+#include "relay/protocol_names.h"    // IWYU pragma: export
+#include "relay/relay_config.h"      // IWYU pragma: export
+#include "relay/relay_metrics.h"     // IWYU pragma: export
+#include "relay/request_origin.h"    // IWYU pragma: export
+#include "relay/route_table.h"       // IWYU pragma: export
+#include "relay/server_directory.h"  // IWYU pragma: export
+
+namespace vanillatiller {
+
+struct RelaySettings {
+  std::string vm;
+  std::string service;
+  Locality locality;
+  SocketAddress caller_listener;
+  SocketAddress peer_listener;
+  // Answers whether this node takes new work, and /metrics.
+  SocketAddress health_listener;
+  // The backend server beside this node.
+  SocketAddress server;
+  ProtocolNames names;
+  SharedRetryBudget retry_budget;
+  // Longest time from Stop() to the end.
+  Duration stop_grace = std::chrono::seconds(6);
+  uint64_t incarnation = 0;
+};
+
+// The relay of one VM.
+class Relay : private CallTransport, private PeerCallHandler {
+ public:
+  Relay(EventLoop* loop, const RelaySettings& settings, EventLog* log,
+        TimePoint now);
+  ~Relay() override;
+
+  // False with a reason if a listener cannot be had.
+  bool Start(std::string* reason);
+  // Ends the relay in order, then calls `stopped`.
+  void Stop(std::function<void()> stopped, TimePoint now);
+
+  // Puts a newer version in force; older ones are ignored.
+  void ApplyConfig(const RelayConfig& config, TimePoint now);
+  // Changes of the list of servers.
+  void ApplyServer(const ServerRecord& record, TimePoint now);
+  void RemoveServer(std::string_view id, uint64_t revision, TimePoint now);
+  void ApplyServers(const std::vector<ServerRecord>& list, uint64_t revision,
+                    TimePoint now);
+  void OnPlatformRestored(TimePoint now);
+
+  RelayMetrics* metrics() { return &m_metrics; }
+
+ private:
+  class HealthFront;
+
+  void Call(const Candidate& server, const relay::Call& call, Done done,
+            TimePoint now) override;
+  void Cancel(const SocketAddress& node, uint64_t call_id,
+              TimePoint now) override;
+
+  void OnPeerCall(const PeerCallKey& key, const relay::Call& call,
+                  TimePoint now) override;
+  void OnPeerCancel(const PeerCallKey& key, TimePoint now) override;
+  PeerLoad Load() const override { return m_executor.Load(); }
+  void OnPeerFrame(const relay::Frame& frame,
+                   const std::function<void(const relay::Frame&)>& reply,
+                   TimePoint now) override;
+
+  PeerClient& ClientFor(const SocketAddress& node);
+  void OnServersChanged(TimePoint now);
+  void TickOften(TimePoint now);
+  void TickSeldom(TimePoint now);
+  void ContinueStop(TimePoint now);
+  void AcceptCaller(std::shared_ptr<TcpConnection> connection, TimePoint now);
+  bool IsReady() const;
+
+  // Period of the executor's tick while calls wait for a slot.
+  static constexpr Duration kShortTick = std::chrono::milliseconds(20);
+  // Period of all else that needs time.
+  static constexpr Duration kLongTick = std::chrono::milliseconds(200);
+  // After Stop(), time during which callers that do not know it yet are served
+  // like before: two status checks, a second apart, and their delays.
+  static constexpr Duration kStopNotice = std::chrono::milliseconds(3000);
+  // Kept free before the end of the grace time.
+  static constexpr Duration kStopMargin = std::chrono::milliseconds(300);
+
+  EventLoop* m_loop;
+  const RelaySettings m_settings;
+  EventLog* m_log;
+  RelayMetrics m_metrics;
+  ServerDirectory m_directory;
+  Placement m_placement;
+  CallExecutor m_executor;
+  PeerServer m_peer_server;
+  RequestOrigin m_origin;
+  std::unique_ptr<HealthFront> m_health;
+  std::vector<std::unique_ptr<TcpListener>> m_listeners;
+  std::map<SocketAddress, std::unique_ptr<PeerClient>> m_clients;
+  std::map<PeerCallKey, CallExecutor::Handle> m_peer_calls;
+  std::map<uint64_t, CallExecutor::Handle> m_own_calls;
+  std::vector<std::weak_ptr<HttpServerSession>> m_caller_sessions;
+  HttpServerLimits m_caller_limits;
+  bool m_has_servers = false;
+  // Start and identity of the server beside this node, as last seen.
+  std::string m_server_id;
+  uint64_t m_server_started_ms = 0;
+  std::function<void()> m_stopped;
+  TimePoint m_stop_began;
+  TimePoint m_next_long_tick;
+};
+
+}  // namespace vanillatiller
+
+#endif  // VANILLATILLER_SOURCE_RELAY_RELAY_H_
--- /dev/null
+++ b/Source/relay/request_origin.cc
@@ -0,0 +1,352 @@
+#include "relay/request_origin.h"
+
+#include <algorithm>
+#include <boost/random/uniform_01.hpp>
+#include <utility>
+
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_format.h"
+#include "relay/refusal_policy.h"
+
+namespace vanillatiller {
+namespace {
+
+constexpr int kBadGateway = 502;
+constexpr int kGatewayTimeout = 504;
+constexpr int kUnavailable = 503;
+constexpr int kNotFound = 404;
+constexpr int kFirstServerError = 500;
+// Least time that is worth sending a request out again for.
+constexpr Duration kLeastTimeForRetry = std::chrono::milliseconds(50);
+
+}  // namespace
+
+// One request of a caller.
+struct RequestOrigin::Request {
+  std::shared_ptr<HttpServerSession> session;
+  std::string id;
+  HttpRequest http;
+  std::shared_ptr<ActiveRoute> route;
+  std::string service;
+  TimePoint received;
+  // The caller waits until then.
+  TimePoint deadline;
+  // The caller gets an answer by then, whatever it is.
+  TimePoint give_up;
+  TimerId timer = 0;
+  // Servers that it was sent to or that turned it away.
+  std::vector<std::string> tried;
+  // Times that it may have reached a server.
+  uint32_t attempts = 0;
+  bool may_have_run = false;
+  Duration shortest_wait = Duration::max();
+  // The call under way; 0 if there is none.
+  uint64_t call = 0;
+  std::string server_id;
+  SocketAddress node;
+  std::shared_ptr<PeerState> state;
+  // The best failure that a server answered with.
+  std::optional<HttpResponse> failure;
+};
+
+RequestOrigin::RequestOrigin(EventLoop* loop, const ProtocolNames* names,
+                             std::string own_service,
+                             const Placement* placement,
+                             CallTransport* transport,
+                             const SharedRetryBudget& budget, EventLog* log,
+                             RelayMetrics* metrics, uint64_t seed)
+    : m_loop(loop),
+      m_names(names),
+      m_own_service(std::move(own_service)),
+      m_placement(placement),
+      m_transport(transport),
+      m_budget(budget),
+      m_log(log),
+      m_metrics(metrics),
+      m_random(seed) {}
+
+RequestOrigin::~RequestOrigin() = default;
+
+void RequestOrigin::OnRequest(
+    const std::shared_ptr<HttpServerSession>& session, HttpRequest http,
+    TimePoint now) {
+  std::shared_ptr<ActiveRoute> route;
+  if (m_routes) {
+    route = m_routes->Find(http.headers.Find("host").value_or(""), http.target);
+  }
+  if (!route) {
+    AnswerUnrouted(session, http, now);
+    return;
+  }
+  auto request = std::make_shared<Request>();
+  request->session = session;
+  request->id = http.headers.Find(m_names->request_id).value_or("");
+  request->route = route;
+  request->service = route->NextService();
+  request->received = now;
+  uint64_t left_ms = 0;
+  const auto left = http.headers.Find(m_names->time_left_ms);
+  const bool has_left = left && absl::SimpleAtoi(std::string(*left), &left_ms);
+  request->deadline = now + (has_left ? std::chrono::milliseconds(left_ms)
+                                      : route->route().timeout);
+  request->give_up =
+      std::min(request->deadline, now + route->route().timeout);
+  http.headers.RemoveConnectionFields();
+  http.headers.Remove("expect");
+  http.headers.Remove(m_names->time_left_ms);
+  http.headers.Remove(m_names->target_server);
+  http.headers.Remove(m_names->calling_service);
+  http.headers.Add(m_names->calling_service, m_own_service);
+  request->http = std::move(http);
+  request->timer = m_loop->Schedule(
+      request->give_up,
+      [this, request](TimePoint later) { OnTimeout(request, later); });
+  m_requests[session.get()] = request;
+  BudgetOf(request->service, now).RecordSuccess(now);
+  Place(request, now);
+}
+
+void RequestOrigin::Place(const RequestPtr& request, TimePoint now) {
+  const Candidate* server = m_placement->Pick(request->service, request->tried,
+                                              now, &m_random);
+  if (server == nullptr || request->tried.size() >= kMaxPlacements) {
+    if (request->may_have_run) {
+      Fail(request, kBadGateway, RefusalCode::kNoPeer, now);
+    } else {
+      const RefusalCode code = request->tried.empty() ? RefusalCode::kNoPeer
+                                                      : RefusalCode::kOverload;
+      Refuse(request, code, request->shortest_wait, now);
+    }
+    return;
+  }
+  request->tried.push_back(server->id);
+  request->server_id = server->id;
+  request->node = server->node;
+  request->state = server->state;
+  request->state->OnSent();
+  const relay::Call call = CallFor(*request, *server, now);
+  request->call = call.id();
+  m_transport->Call(
+      *server, call,
+      [this, request, id = call.id()](CallResult result, TimePoint later) {
+        if (request->call == id) OnResult(request, std::move(result), later);
+      },
+      now);
+}
+
+relay::Call RequestOrigin::CallFor(const Request& request,
+                                   const Candidate& server, TimePoint now) {
+  relay::Call call;
+  call.set_id(++m_last_call);
+  call.set_server_id(server.id);
+  call.set_declared_slots(server.slots);
+  call.set_method(request.http.method);
+  call.set_target(request.http.target);
+  EncodeHeaders(request.http.headers, call.mutable_headers());
+  call.set_body(request.http.body);
+  const RelayRoute& route = request.route->route();
+  call.set_time_left_us(ToMicroseconds(request.give_up - now));
+  call.set_objective_left_us(
+      ToMicroseconds(request.received + route.objective - now));
+  call.set_idempotent(route.idempotent);
+  call.set_rank(route.rank);
+  call.set_shed_hash(static_cast<uint32_t>(HashBytes(request.id)));
+  call.set_route(route.name);
+  return call;
+}
+
+void RequestOrigin::OnResult(const RequestPtr& request, CallResult result,
+                             TimePoint now) {
+  request->call = 0;
+  PeerState& state = *request->state;
+  if (result.has_load) {
+    state.OnAnswer(result.load, now);
+  } else {
+    state.OnFailure(PeerFailure::kUnreachable, now);
+  }
+  switch (result.outcome) {
+    case Outcome::kComplete:
+      if (result.response.status >= kFirstServerError) {
+        request->failure = std::move(result.response);
+        OnFailed(request, std::move(result), now);
+        return;
+      }
+      Answer(request, result.response, "answered", RefusalCode::kNone, now);
+      return;
+    case Outcome::kNotRun:
+      OnNotRun(request, result, now);
+      return;
+    case Outcome::kUnknown:
+      OnFailed(request, std::move(result), now);
+      return;
+  }
+}
+
+void RequestOrigin::OnNotRun(const RequestPtr& request,
+                             const CallResult& result, TimePoint now) {
+  if (result.expected_wait > Duration::zero()) {
+    request->shortest_wait =
+        std::min(request->shortest_wait, result.expected_wait);
+  }
+  // The server itself was reached and turned the request away, so another
+  // server would be a retry.
+  if (result.code == RefusalCode::kBackendRefused ||
+      result.code == RefusalCode::kUnknownIncarnation) {
+    ++request->attempts;
+    if (!MayRepeat(*request, now) ||
+        !BudgetOf(request->service, now).TrySpend(now)) {
+      Refuse(request, result.code, request->shortest_wait, now);
+      return;
+    }
+  }
+  if (now + kLeastTimeForRetry >= request->give_up) {
+    Refuse(request, result.code, request->shortest_wait, now);
+    return;
+  }
+  Place(request, now);
+}
+
+bool RequestOrigin::MayRepeat(const Request& request, TimePoint now) const {
+  const RelayRoute& route = request.route->route();
+  return request.attempts < route.max_attempts &&
+         now + kLeastTimeForRetry < request.give_up;
+}
+
+void RequestOrigin::OnFailed(const RequestPtr& request, CallResult result,
+                             TimePoint now) {
+  ++request->attempts;
+  request->may_have_run = true;
+  if (request->route->route().idempotent && MayRepeat(*request, now)) {
+    if (BudgetOf(request->service, now).TrySpend(now)) {
+      ++m_metrics->retries;
+      Place(request, now);
+      return;
+    }
+    ++m_metrics->retries_denied;
+  }
+  if (request->failure) {
+    Answer(request, *request->failure, "server-failed", result.code, now);
+    return;
+  }
+  const int status = result.code == RefusalCode::kDeadlineExceeded
+                         ? kGatewayTimeout
+                         : kBadGateway;
+  Fail(request, status, result.code, now);
+}
+
+EdgeBudget& RequestOrigin::BudgetOf(const std::string& service,
+                                    TimePoint now) {
+  std::unique_ptr<EdgeBudget>& budget = m_budgets[service];
+  if (!budget) {
+    EdgeBudgetSettings settings;
+    settings.ratio = m_budget.ratio;
+    settings.retries_per_second = 0;
+    settings.capacity = m_budget.burst;
+    budget = std::make_unique<EdgeBudget>(settings, now);
+  }
+  return *budget;
+}
+
+void RequestOrigin::OnTimeout(const RequestPtr& request, TimePoint now) {
+  request->timer = 0;
+  if (request->call != 0) {
+    m_transport->Cancel(request->node, request->call, now);
+    request->state->OnAbandoned();
+    request->call = 0;
+    request->may_have_run = true;
+  }
+  Fail(request, kGatewayTimeout, RefusalCode::kDeadlineExceeded, now);
+}
+
+void RequestOrigin::OnCallerGone(
+    const std::shared_ptr<HttpServerSession>& session, TimePoint now) {
+  const auto found = m_requests.find(session.get());
+  if (found == m_requests.end()) return;
+  const RequestPtr request = found->second;
+  ++m_metrics->callers_gone;
+  if (request->call != 0) {
+    m_transport->Cancel(request->node, request->call, now);
+    request->state->OnAbandoned();
+    request->call = 0;
+  }
+  m_log->Write(LogTopic::kRequest, "caller-gone",
+               {{"request", request->id},
+                {"route", request->route->route().name},
+                {"server", request->server_id},
+                {"after_ms",
+                 std::to_string(ToMilliseconds(now - request->received))}},
+               now);
+  Forget(request);
+}
+
+void RequestOrigin::Refuse(const RequestPtr& request, RefusalCode code,
+                           Duration wait, TimePoint now) {
+  boost::random::uniform_01<double> draw;
+  if (wait == Duration::max()) wait = Duration::zero();
+  const Duration after =
+      RetryAfter(wait, request->deadline - now, draw(m_random));
+  HttpResponse response;
+  response.status = kUnavailable;
+  response.headers.Add(
+      m_names->retry_after,
+      absl::StrFormat("%.3f", std::chrono::duration<double>(after).count()));
+  Answer(request, response, "refused", code, now);
+}
+
+void RequestOrigin::Fail(const RequestPtr& request, int status,
+                         RefusalCode code, TimePoint now) {
+  HttpResponse response;
+  response.status = status;
+  Answer(request, response, "failed", code, now);
+}
+
+void RequestOrigin::Answer(const RequestPtr& request,
+                           const HttpResponse& response,
+                           std::string_view decision, RefusalCode code,
+                           TimePoint now) {
+  ++m_metrics->answers[response.status];
+  m_metrics->request_time.Add(now - request->received);
+  if (decision != "answered") {
+    m_log->Write(
+        LogTopic::kRequest, decision,
+        {{"request", request->id},
+         {"route", request->route->route().name},
+         {"service", request->service},
+         {"status", std::to_string(response.status)},
+         {"reason", std::string(RefusalCodeName(code))},
+         {"server", request->server_id},
+         {"placements", std::to_string(request->tried.size())},
+         {"attempts", std::to_string(request->attempts)},
+         {"after_ms", std::to_string(ToMilliseconds(now - request->received))},
+         {"config", std::to_string(config_version())}},
+        now);
+  }
+  if (m_leaving) request->session->CloseAfterAnswer();
+  request->session->Respond(response, now);
+  Forget(request);
+}
+
+void RequestOrigin::AnswerUnrouted(
+    const std::shared_ptr<HttpServerSession>& session,
+    const HttpRequest& request, TimePoint now) {
+  HttpResponse response;
+  response.status = m_routes ? kNotFound : kUnavailable;
+  ++m_metrics->answers[response.status];
+  m_log->Write(
+      LogTopic::kRequest, "unrouted",
+      {{"request",
+        std::string(request.headers.Find(m_names->request_id).value_or("-"))},
+       {"authority", std::string(request.headers.Find("host").value_or("-"))},
+       {"target", request.target},
+       {"status", std::to_string(response.status)},
+       {"config", std::to_string(config_version())}},
+      now);
+  session->Respond(response, now);
+}
+
+void RequestOrigin::Forget(const RequestPtr& request) {
+  m_loop->Cancel(&request->timer);
+  m_requests.erase(request->session.get());
+}
+
+}  // namespace vanillatiller
--- /dev/null
+++ b/Source/relay/request_origin.h
@@ -0,0 +1,112 @@
+#ifndef VANILLATILLER_SOURCE_RELAY_REQUEST_ORIGIN_H_
+#define VANILLATILLER_SOURCE_RELAY_REQUEST_ORIGIN_H_
+
+#include <boost/random/mersenne_twister.hpp>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "eventio/eventio.h"
+#include "relay/call_result.h"
+#include "relay/event_log.h"
+#include "relay/placement.h"
+#include "relay/protocol_names.h"
+#include "relay/relay_metrics.h"
+#include "relay/route_table.h"
+#include "retry/retry.h"
+
+namespace vanillatiller {
+
+// Carries calls to the node beside a server.
+class CallTransport {
+ public:
+  using Done = std::function<void(CallResult, TimePoint now)>;
+
+  virtual ~CallTransport() = default;
+  virtual void Call(const Candidate& server, const relay::Call& call, Done done,
+                    TimePoint now) = 0;
+  virtual void Cancel(const SocketAddress& node, uint64_t call_id,
+                      TimePoint now) = 0;
+};
+
+// Bound on retries to one service that all nodes share; see EdgeBudget.
+struct SharedRetryBudget {
+  // Retries for each request.
+  double ratio = 0.1;
+  // Retries that one node may save up.
+  double burst = 1;
+};
+
+// Serves the requests of callers on this VM: finds the route, chooses servers,
+// repeats what may be repeated, and answers.
+class RequestOrigin : public HttpRequestHandler {
+ public:
+  RequestOrigin(EventLoop* loop, const ProtocolNames* names,
+                std::string own_service, const Placement* placement,
+                CallTransport* transport, const SharedRetryBudget& budget,
+                EventLog* log, RelayMetrics* metrics, uint64_t seed);
+  ~RequestOrigin() override;
+
+  void SetRoutes(std::shared_ptr<const RouteTable> routes) {
+    m_routes = std::move(routes);
+  }
+  // Callers' connections close after their next answer.
+  void Leave() { m_leaving = true; }
+  bool IsIdle() const { return m_requests.empty(); }
+  uint64_t config_version() const { return m_routes ? m_routes->version() : 0; }
+
+  void OnRequest(const std::shared_ptr<HttpServerSession>& session,
+                 HttpRequest request, TimePoint now) override;
+  void OnCallerGone(const std::shared_ptr<HttpServerSession>& session,
+                    TimePoint now) override;
+
+ private:
+  struct Request;
+  using RequestPtr = std::shared_ptr<Request>;
+
+  void Place(const RequestPtr& request, TimePoint now);
+  relay::Call CallFor(const Request& request, const Candidate& server,
+                      TimePoint now);
+  void OnResult(const RequestPtr& request, CallResult result, TimePoint now);
+  void OnNotRun(const RequestPtr& request, const CallResult& result,
+                TimePoint now);
+  void OnFailed(const RequestPtr& request, CallResult result, TimePoint now);
+  bool MayRepeat(const Request& request, TimePoint now) const;
+  EdgeBudget& BudgetOf(const std::string& service, TimePoint now);
+  void OnTimeout(const RequestPtr& request, TimePoint now);
+  void Refuse(const RequestPtr& request, RefusalCode code, Duration wait,
+              TimePoint now);
+  void Fail(const RequestPtr& request, int status, RefusalCode code,
+            TimePoint now);
+  void Answer(const RequestPtr& request, const HttpResponse& response,
+              std::string_view decision, RefusalCode code, TimePoint now);
+  void AnswerUnrouted(const std::shared_ptr<HttpServerSession>& session,
+                      const HttpRequest& request, TimePoint now);
+  void Forget(const RequestPtr& request);
+
+  // Servers that may be asked for one request without running it: each costs
+  // a round trip, and after a few the load is the same everywhere.
+  static constexpr size_t kMaxPlacements = 4;
+
+  EventLoop* m_loop;
+  const ProtocolNames* m_names;
+  const std::string m_own_service;
+  const Placement* m_placement;
+  CallTransport* m_transport;
+  const SharedRetryBudget m_budget;
+  EventLog* m_log;
+  RelayMetrics* m_metrics;
+  Placement::Generator m_random;
+  std::shared_ptr<const RouteTable> m_routes;
+  bool m_leaving = false;
+  uint64_t m_last_call = 0;
+  std::map<HttpServerSession*, RequestPtr> m_requests;
+  std::map<std::string, std::unique_ptr<EdgeBudget>> m_budgets;
+};
+
+}  // namespace vanillatiller
+
+#endif  // VANILLATILLER_SOURCE_RELAY_REQUEST_ORIGIN_H_
--- /dev/null
+++ b/Source/relay/server_directory.cc
@@ -0,0 +1,113 @@
+#include "relay/server_directory.h"
+
+#include <algorithm>
+#include <set>
+
+namespace vanillatiller {
+
+bool ServerDirectory::IsPresent(const Entry& entry, TimePoint now) {
+  return !entry.expires || now < *entry.expires;
+}
+
+bool ServerDirectory::Apply(const ServerRecord& record, TimePoint now) {
+  m_revision = std::max(m_revision, record.revision);
+  Entry& entry = m_entries[record.id];
+  // A late report of an earlier run of the server.
+  if (record.started_ms < entry.record.started_ms) return false;
+  if (record.revision < entry.record.revision ||
+      record.revision <= entry.removed_revision) {
+    return false;
+  }
+  const ServerRecord& old = entry.record;
+  const bool changed =
+      !IsPresent(entry, now) || old.service != record.service ||
+      old.address != record.address || old.draining != record.draining ||
+      old.slots != record.slots || old.started_ms != record.started_ms;
+  entry.record = record;
+  entry.expires.reset();
+  return changed;
+}
+
+bool ServerDirectory::Remove(std::string_view id, uint64_t revision,
+                             TimePoint now) {
+  m_revision = std::max(m_revision, revision);
+  const auto found = m_entries.find(id);
+  if (found == m_entries.end()) return false;
+  Entry& entry = found->second;
+  if (revision < entry.record.revision || entry.expires) return false;
+  entry.removed_revision = revision;
+  entry.expires = std::max(now, m_doubt_until);
+  DropExpired(now);
+  return true;
+}
+
+size_t ServerDirectory::ApplyList(const std::vector<ServerRecord>& list,
+                                  uint64_t revision, TimePoint now) {
+  size_t changes = 0;
+  std::set<std::string_view> listed;
+  for (const ServerRecord& record : list) {
+    listed.insert(record.id);
+    changes += Apply(record, now) ? 1 : 0;
+  }
+  std::vector<std::string> missing;
+  for (const auto& [id, entry] : m_entries) {
+    if (!listed.contains(id)) missing.push_back(id);
+  }
+  for (const std::string& id : missing) {
+    changes += Remove(id, revision, now) ? 1 : 0;
+  }
+  m_revision = std::max(m_revision, revision);
+  return changes;
+}
+
+void ServerDirectory::OnSourceRestored(TimePoint now) {
+  m_doubt_until = now + kRenewalGrace;
+}
+
+void ServerDirectory::DropExpired(TimePoint now) {
+  // Revisions keep late copies of a dropped record out as long as it matters.
+  static constexpr Duration kMemory = std::chrono::seconds(30);
+  std::erase_if(m_entries, [now](const auto& item) {
+    return item.second.expires && now - *item.second.expires > kMemory;
+  });
+}
+
+std::vector<const ServerRecord*> ServerDirectory::Usable(TimePoint now) const {
+  // An address belongs to the server that started last.
+  std::map<SocketAddress, const ServerRecord*> by_address;
+  for (const auto& [id, entry] : m_entries) {
+    if (!IsPresent(entry, now)) continue;
+    const ServerRecord*& holder = by_address[entry.record.address];
+    if (holder == nullptr || holder->started_ms < entry.record.started_ms) {
+      holder = &entry.record;
+    }
+  }
+  std::vector<const ServerRecord*> usable;
+  for (const auto& [address, record] : by_address) {
+    if (!record->draining) usable.push_back(record);
+  }
+  return usable;
+}
+
+const ServerRecord* ServerDirectory::FindByAddress(const SocketAddress& address,
+                                                   TimePoint now) const {
+  const ServerRecord* found = nullptr;
+  for (const auto& [id, entry] : m_entries) {
+    if (entry.record.address != address || !IsPresent(entry, now)) continue;
+    if (found == nullptr || found->started_ms < entry.record.started_ms) {
+      found = &entry.record;
+    }
+  }
+  return found;
+}
+
+std::optional<TimePoint> ServerDirectory::NextExpiry(TimePoint now) const {
+  std::optional<TimePoint> next;
+  for (const auto& [id, entry] : m_entries) {
+    if (!entry.expires || *entry.expires <= now) continue;
+    if (!next || *entry.expires < *next) next = entry.expires;
+  }
+  return next;
+}
+
+}  // namespace vanillatiller
--- a/Source/routing/peer_state.cc
+++ b/Source/routing/peer_state.cc
@@ -21,11 +21,15 @@
 
 void PeerState::OnAnswer(const PeerLoad& load, TimePoint now) {
   --m_outstanding;
+  m_failures = 0;
+  m_ejected_until = TimePoint{};
+  OnReport(load, now);
+}
+
+void PeerState::OnReport(const PeerLoad& load, TimePoint now) {
   m_reported = load.in_flight + load.queued;
   m_limit = load.concurrency_limit;
   m_reported_at = now;
-  m_failures = 0;
-  m_ejected_until = TimePoint{};
   m_leaving = load.leaving;
 }
 
--- a/Source/routing/peer_state.h
+++ b/Source/routing/peer_state.h
@@ -36,6 +36,8 @@
 
   void OnSent() { ++m_outstanding; }
   void OnAnswer(const PeerLoad& load, TimePoint now);
+  // The peer reported its load without an answer.
+  void OnReport(const PeerLoad& load, TimePoint now);
   // The attempt ended without an answer from the peer.
   void OnFailure(PeerFailure failure, TimePoint now);
   // The attempt ended for a reason that says nothing of the peer.
@@ -50,6 +52,8 @@
   // True while the peer is left out after failures.
   bool IsEjected(TimePoint now) const;
   bool IsLeaving() const { return m_leaving; }
+  // Time of the last report; the epoch if there was none.
+  TimePoint reported_at() const { return m_reported_at; }
   uint32_t outstanding() const { return m_outstanding; }
 
  private:
