--- a/Source/eventio/tcp_connection.cc
+++ b/Source/eventio/tcp_connection.cc
@@ -123,7 +123,16 @@
     m_handler->OnData(data, BootClock::now());
     return;
   }
-  End(count == UV_EOF ? ConnectionEnd::kClosed : ConnectionEnd::kFailed);
+  End(count == UV_EOF && IsClosedInOrder() ? ConnectionEnd::kClosed
+                                           : ConnectionEnd::kFailed);
+}
+
+// libuv reports a reset that follows data as an orderly end.
+bool TcpConnection::IsClosedInOrder() const {
+  uv_os_fd_t fd = -1;
+  char byte = 0;
+  return uv_fileno(reinterpret_cast<const uv_handle_t*>(&m_tcp), &fd) == 0 &&
+         recv(fd, &byte, sizeof(byte), MSG_PEEK) == 0;
 }
 
 void TcpConnection::End(ConnectionEnd end) {
--- a/Source/eventio/tcp_connection.h
+++ b/Source/eventio/tcp_connection.h
@@ -80,6 +80,7 @@
   void End(ConnectionEnd end);
   void OnRead(ssize_t count, std::string_view data);
   void SetKeepAlive();
+  bool IsClosedInOrder() const;
 
   // Wait for the other side to close after this side did.
   static constexpr Duration kFinishWait = std::chrono::seconds(1);
--- a/Source/relay/relay.h
+++ b/Source/relay/relay.h
@@ -98,7 +98,7 @@
   // like before: two status checks, a second apart, and their delays.
   static constexpr Duration kStopNotice = std::chrono::milliseconds(3000);
   // Kept free before the end of the grace time.
-  static constexpr Duration kStopMargin = std::chrono::milliseconds(300);
+  static constexpr Duration kStopMargin = std::chrono::milliseconds(800);
 
   EventLoop* m_loop;
   const RelaySettings m_settings;
