--- a/Source/relay/call_executor.cc
+++ b/Source/relay/call_executor.cc
@@ -42,6 +42,8 @@
   local.done = std::move(done);
   local.received = now;
   local.deadline = now + std::chrono::microseconds(call.time_left_us());
+  const HttpHeaders headers = DecodeHeaders(call.headers());
+  local.request_id = headers.Find(m_names->request_id).value_or("");
   if (m_leaving) {
     Finish(handle, Refusal(RefusalCode::kLeaving, call), now);
     return handle;
@@ -50,6 +52,7 @@
   work.id = handle;
   work.shed_hash = call.shed_hash();
   work.rank = call.rank();
+  work.is_nested = call.is_nested();
   work.deadline = local.deadline;
   work.method = local.call.route();
   AdmissionActions actions;
@@ -102,6 +105,7 @@
   if (found == m_calls.end()) return;
   LocalCall& local = found->second;
   local.dispatched = now;
+  m_active[local.request_id] = handle;
   local.session = TakeSession(now);
   local.timer =
       m_loop->Schedule(local.deadline + kOverrun, [this, handle](TimePoint t) {
@@ -135,14 +139,17 @@
   LocalCall local = std::move(found->second);
   m_calls.erase(found);
   m_loop->Cancel(&local.timer);
+  const auto active = m_active.find(local.request_id);
+  if (active != m_active.end() && active->second == handle) {
+    m_active.erase(active);
+  }
   const bool was_dispatched = local.dispatched != TimePoint{};
   if (was_dispatched) m_metrics->server_time.Add(now - local.dispatched);
   m_metrics->CountCall(result.outcome);
   if (result.outcome != Outcome::kComplete) {
-    const auto id = DecodeHeaders(local.call.headers()).Find(m_names->request_id);
     m_log->Write(
         LogTopic::kRequest, "call-ended",
-        {{"request", std::string(id.value_or("-"))},
+        {{"request", local.request_id},
          {"route", local.call.route()},
          {"server", local.call.server_id()},
          {"outcome", std::string(OutcomeName(result.outcome))},
@@ -192,6 +199,17 @@
   return true;
 }
 
+std::optional<CallExecutor::ActiveCall> CallExecutor::FindParent(
+    std::string_view request_id) const {
+  const size_t dot = request_id.rfind('.');
+  if (dot == std::string_view::npos) return std::nullopt;
+  const auto active = m_active.find(request_id.substr(0, dot));
+  if (active == m_active.end()) return std::nullopt;
+  const LocalCall& parent = m_calls.at(active->second);
+  return ActiveCall{parent.call.rank(), parent.call.shed_hash(),
+                    parent.deadline};
+}
+
 void CallExecutor::Leave(TimePoint now) {
   m_leaving = true;
   AdmissionActions actions;
--- a/Source/relay/call_executor.h
+++ b/Source/relay/call_executor.h
@@ -5,7 +5,9 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "admission/admission.h"
@@ -22,6 +24,13 @@
 // than it has slots.
 class CallExecutor {
  public:
+  // A call that the server works on.
+  struct ActiveCall {
+    uint32_t rank = 0;
+    uint32_t shed_hash = 0;
+    TimePoint deadline;
+  };
+
   using Done = std::function<void(CallResult, TimePoint now)>;
   using Handle = uint64_t;
 
@@ -42,6 +51,11 @@
   // The list names another server run beside this node.
   void OnServerChanged(uint32_t slots, bool is_cold, TimePoint now);
 
+  // The call for which the server makes the request `request_id`: servers name
+  // a request that they make after the one that they work on, with a dot and
+  // more behind. Nullopt if no call that runs here has such a name.
+  std::optional<ActiveCall> FindParent(std::string_view request_id) const;
+
   PeerLoad Load() const;
   bool IsIdle() const { return m_calls.empty(); }
   void Tick(TimePoint now);
@@ -49,6 +63,7 @@
  private:
   struct LocalCall {
     relay::Call call;
+    std::string request_id;
     Done done;
     TimePoint received;
     TimePoint deadline;
@@ -85,6 +100,8 @@
   bool m_leaving = false;
   Handle m_last_handle = 0;
   std::map<Handle, LocalCall> m_calls;
+  // Calls that run, by the identity of their request.
+  std::map<std::string, Handle, std::less<>> m_active;
   // The one used last is taken first.
   std::vector<std::shared_ptr<HttpClientSession>> m_idle;
 };
--- a/Source/relay/placement.cc
+++ b/Source/relay/placement.cc
@@ -7,16 +7,25 @@
 namespace vanillatiller {
 namespace {
 
-// Load, as a part of a server's limit, that a call accepts to stay on its VM,
-// in its failure domain, or in its region.
-constexpr double kSameDomainDistance = 0.02;
-constexpr double kSameRegionDistance = 0.1;
-constexpr double kOtherRegionDistance = 0.45;
+// Costs of the distance to a server; see LoadCost().
+constexpr double kSameDomainDistance = 0.01;
+constexpr double kSameRegionDistance = 0.12;
+constexpr double kOtherRegionDistance = 0.5;
+// Costs of a server's load: little while it has free slots, and steeply rising
+// once it is nearly full, as calls then wait.
+constexpr double kCostPerLoad = 0.2;
+constexpr double kNearlyFull = 0.85;
+constexpr double kCostPerExcessLoad = 2.0;
 // Time after which a node that said it is leaving is tried again: a restart in
 // place takes no longer.
 constexpr Duration kLeavingLifetime = std::chrono::seconds(4);
 // Random addition that keeps nodes with equal views from choosing alike.
-constexpr double kJitter = 0.05;
+constexpr double kJitter = 0.02;
+
+double LoadCost(double load) {
+  return kCostPerLoad * load +
+         kCostPerExcessLoad * std::max(0.0, load - kNearlyFull);
+}
 
 }  // namespace
 
@@ -82,7 +91,7 @@
       continue;
     }
     const bool is_ejected = state.IsEjected(now);
-    const double cost = state.Load(candidate.slots, now) +
+    const double cost = LoadCost(state.Load(candidate.slots, now)) +
                         candidate.distance + kJitter * draw(*random);
     const bool is_better =
         best == nullptr || (best_is_ejected && !is_ejected) ||
--- a/Source/relay/placement.h
+++ b/Source/relay/placement.h
@@ -24,7 +24,7 @@
   // Listener of the node beside the server.
   SocketAddress node;
   uint32_t slots = 1;
-  // Additional load that the distance counts for; see Placement.
+  // Cost of the distance; see Placement.
   double distance = 0;
   std::shared_ptr<PeerState> state;
 };
@@ -43,10 +43,10 @@
 //
 // Load pattern: demand of one service exceeds the servers of a failure domain,
 // while others have room; or servers differ in speed. Each server counts with
-// the slots that are taken there, relative to its limit, plus a constant for
-// its distance, and the lowest sum wins. So work stays near while there is
-// room, overflows to the own region early, and to other regions, which cost
-// 60 ms and paid bytes, only when the near servers are well loaded.
+// a cost of its load, which rises steeply once it is nearly full, plus a
+// constant for its distance, and the lowest sum wins. So work stays near while
+// there is room, overflows to the own region first, and to other regions, which
+// cost 60 ms and paid bytes, only when calls would wait at all near servers.
 class Placement {
  public:
   using Generator = boost::random::mt19937_64;
--- a/Source/relay/relay.cc
+++ b/Source/relay/relay.cc
@@ -40,7 +40,7 @@
                  now),
       m_peer_server(loop, settings.incarnation, this),
       m_origin(loop, &m_settings.names, settings.service, &m_placement, this,
-               settings.retry_budget, log, &m_metrics, settings.incarnation),
+               &m_executor, settings.retry_budget, log, &m_metrics, settings.incarnation),
       m_health(std::make_unique<HealthFront>(this)) {}
 
 Relay::~Relay() = default;
--- a/Source/relay/request_origin.cc
+++ b/Source/relay/request_origin.cc
@@ -16,6 +16,8 @@
 constexpr int kUnavailable = 503;
 constexpr int kNotFound = 404;
 constexpr int kFirstServerError = 500;
+// Time in which a process that ends is usually replaced.
+constexpr Duration kRestartTime = std::chrono::milliseconds(1500);
 // Least time that is worth sending a request out again for.
 constexpr Duration kLeastTimeForRetry = std::chrono::milliseconds(50);
 
@@ -33,6 +35,11 @@
   TimePoint deadline;
   // The caller gets an answer by then, whatever it is.
   TimePoint give_up;
+  // Rank and place in the shedding order of the whole request, which a call
+  // inherits from the call that it is made for.
+  uint32_t rank = 0;
+  uint32_t shed_hash = 0;
+  bool is_nested = false;
   TimerId timer = 0;
   // Servers that it was sent to or that turned it away.
   std::vector<std::string> tried;
@@ -53,6 +60,7 @@
                              std::string own_service,
                              const Placement* placement,
                              CallTransport* transport,
+                             const CallExecutor* executor,
                              const SharedRetryBudget& budget, EventLog* log,
                              RelayMetrics* metrics, uint64_t seed)
     : m_loop(loop),
@@ -60,6 +68,7 @@
       m_own_service(std::move(own_service)),
       m_placement(placement),
       m_transport(transport),
+      m_executor(executor),
       m_budget(budget),
       m_log(log),
       m_metrics(metrics),
@@ -91,6 +100,13 @@
                                       : route->route().timeout);
   request->give_up =
       std::min(request->deadline, now + route->route().timeout);
+  request->rank = route->route().rank;
+  request->shed_hash = static_cast<uint32_t>(HashBytes(request->id));
+  if (const auto parent = m_executor->FindParent(request->id)) {
+    request->rank = parent->rank;
+    request->shed_hash = parent->shed_hash;
+    request->is_nested = true;
+  }
   http.headers.RemoveConnectionFields();
   http.headers.Remove("expect");
   http.headers.Remove(m_names->time_left_ms);
@@ -102,6 +118,10 @@
       request->give_up,
       [this, request](TimePoint later) { OnTimeout(request, later); });
   m_requests[session.get()] = request;
+  if (m_leaving) {
+    Refuse(request, RefusalCode::kLeaving, kRestartTime, now);
+    return;
+  }
   BudgetOf(request->service, now).RecordSuccess(now);
   Place(request, now);
 }
@@ -110,13 +130,9 @@
   const Candidate* server = m_placement->Pick(request->service, request->tried,
                                               now, &m_random);
   if (server == nullptr || request->tried.size() >= kMaxPlacements) {
-    if (request->may_have_run) {
-      Fail(request, kBadGateway, RefusalCode::kNoPeer, now);
-    } else {
-      const RefusalCode code = request->tried.empty() ? RefusalCode::kNoPeer
-                                                      : RefusalCode::kOverload;
-      Refuse(request, code, request->shortest_wait, now);
-    }
+    const RefusalCode code = request->tried.empty() ? RefusalCode::kNoPeer
+                                                    : RefusalCode::kOverload;
+    GiveUp(request, code, now);
     return;
   }
   request->tried.push_back(server->id);
@@ -149,8 +165,9 @@
   call.set_objective_left_us(
       ToMicroseconds(request.received + route.objective - now));
   call.set_idempotent(route.idempotent);
-  call.set_rank(route.rank);
-  call.set_shed_hash(static_cast<uint32_t>(HashBytes(request.id)));
+  call.set_rank(request.rank);
+  call.set_shed_hash(request.shed_hash);
+  call.set_is_nested(request.is_nested);
   call.set_route(route.name);
   return call;
 }
@@ -195,12 +212,12 @@
     ++request->attempts;
     if (!MayRepeat(*request, now) ||
         !BudgetOf(request->service, now).TrySpend(now)) {
-      Refuse(request, result.code, request->shortest_wait, now);
+      GiveUp(request, result.code, now);
       return;
     }
   }
   if (now + kLeastTimeForRetry >= request->give_up) {
-    Refuse(request, result.code, request->shortest_wait, now);
+    GiveUp(request, result.code, now);
     return;
   }
   Place(request, now);
@@ -224,14 +241,22 @@
     }
     ++m_metrics->retries_denied;
   }
+  GiveUp(request, result.code, now);
+}
+
+void RequestOrigin::GiveUp(const RequestPtr& request, RefusalCode code,
+                           TimePoint now) {
+  if (!request->may_have_run) {
+    Refuse(request, code, request->shortest_wait, now);
+    return;
+  }
   if (request->failure) {
-    Answer(request, *request->failure, "server-failed", result.code, now);
+    Answer(request, *request->failure, "server-failed", code, now);
     return;
   }
-  const int status = result.code == RefusalCode::kDeadlineExceeded
-                         ? kGatewayTimeout
-                         : kBadGateway;
-  Fail(request, status, result.code, now);
+  const int status = code == RefusalCode::kDeadlineExceeded ? kGatewayTimeout
+                                                            : kBadGateway;
+  Fail(request, status, code, now);
 }
 
 EdgeBudget& RequestOrigin::BudgetOf(const std::string& service,
--- a/Source/relay/request_origin.h
+++ b/Source/relay/request_origin.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "eventio/eventio.h"
+#include "relay/call_executor.h"
 #include "relay/call_result.h"
 #include "relay/event_log.h"
 #include "relay/placement.h"
@@ -46,13 +47,15 @@
  public:
   RequestOrigin(EventLoop* loop, const ProtocolNames* names,
                 std::string own_service, const Placement* placement,
-                CallTransport* transport, const SharedRetryBudget& budget,
+                CallTransport* transport, const CallExecutor* executor,
+                const SharedRetryBudget& budget,
                 EventLog* log, RelayMetrics* metrics, uint64_t seed);
   ~RequestOrigin() override;
 
   void SetRoutes(std::shared_ptr<const RouteTable> routes) {
     m_routes = std::move(routes);
   }
+  // New requests are refused: the process ends before they could be answered.
   // Callers' connections close after their next answer.
   void Leave() { m_leaving = true; }
   bool IsIdle() const { return m_requests.empty(); }
@@ -74,6 +77,9 @@
   void OnNotRun(const RequestPtr& request, const CallResult& result,
                 TimePoint now);
   void OnFailed(const RequestPtr& request, CallResult result, TimePoint now);
+  // Answers a request that will not be tried again: as not run if that is
+  // proved, with the server's failure if it gave one.
+  void GiveUp(const RequestPtr& request, RefusalCode code, TimePoint now);
   bool MayRepeat(const Request& request, TimePoint now) const;
   EdgeBudget& BudgetOf(const std::string& service, TimePoint now);
   void OnTimeout(const RequestPtr& request, TimePoint now);
@@ -96,6 +102,8 @@
   const std::string m_own_service;
   const Placement* m_placement;
   CallTransport* m_transport;
+  // Knows the calls for which the server beside this node makes others.
+  const CallExecutor* m_executor;
   const SharedRetryBudget m_budget;
   EventLog* m_log;
   RelayMetrics* m_metrics;
--- /dev/null
+++ b/Tests/placement_test.cc
@@ -0,0 +1,145 @@
+#define BOOST_TEST_MODULE placement
+#include <array>
+#include <boost/test/unit_test.hpp>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "relay/relay.h"
+
+namespace vanillatiller {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr uint32_t kSlots = 20;
+constexpr uint16_t kPeerPort = 8000;
+const TimePoint kStart{std::chrono::seconds(1000)};
+
+// One server of a service in each of six failure domains, two to a region.
+struct Fleet {
+  Fleet() : placement(MakeLocality()) {
+    for (size_t i = 0; i < 6; ++i) {
+      ServerRecord record;
+      record.id = "s" + std::to_string(i);
+      record.service = "work";
+      record.address = {"10.0.0." + std::to_string(i + 1), 9000};
+      record.failure_domain = "d" + std::to_string(i);
+      record.slots = kSlots;
+      servers.push_back(record);
+    }
+    Update(kStart);
+  }
+
+  static Locality MakeLocality() {
+    Locality locality;
+    locality.vm_ip = "10.0.0.99";
+    locality.failure_domain = "d0";
+    for (int i = 0; i < 6; ++i) {
+      locality.regions["d" + std::to_string(i)] = "r" + std::to_string(i / 2);
+    }
+    locality.peer_port = kPeerPort;
+    return locality;
+  }
+
+  void Update(TimePoint now) {
+    std::vector<const ServerRecord*> usable;
+    for (const ServerRecord& record : servers) usable.push_back(&record);
+    placement.Update(usable, now);
+  }
+
+  const Candidate* Pick(TimePoint now,
+                        std::span<const std::string> excluded = {}) {
+    return placement.Pick("work", excluded, now, &random);
+  }
+
+  // The node beside server `index` reports its load.
+  void Report(size_t index, uint32_t taken, TimePoint now) {
+    const SocketAddress node{"10.0.0." + std::to_string(index + 1), kPeerPort};
+    for (const Candidate* candidate : placement.AtNode(node)) {
+      candidate->state->OnReport({taken, 0, kSlots, false}, now);
+    }
+  }
+
+  std::vector<ServerRecord> servers;
+  Placement placement;
+  Placement::Generator random{1};
+};
+
+// Where calls go when `taken` slots are taken at each server.
+BOOST_AUTO_TEST_CASE(OverflowsByDistance) {
+  struct Case {
+    const char* what;
+    std::array<uint32_t, 6> taken;
+    const char* expected;
+  };
+  const std::vector<Case> cases = {
+      {"idle: own domain", {0, 0, 0, 0, 0, 0}, "s0"},
+      {"well used: own domain", {10, 0, 0, 0, 0, 0}, "s0"},
+      {"own full: same region", {20, 5, 0, 0, 0, 0}, "s1"},
+      {"no call crosses regions while a near server has room",
+       {20, 15, 0, 0, 0, 0},
+       "s1"},
+      {"region well used: stays", {15, 15, 20, 20, 20, 0}, "s0"},
+      {"region full: other region", {24, 24, 20, 20, 20, 0}, "s5"},
+      {"all overloaded: least", {40, 36, 60, 60, 60, 60}, "s1"},
+  };
+  for (const Case& item : cases) {
+    Fleet fleet;
+    for (size_t i = 0; i < 6; ++i) fleet.Report(i, item.taken[i], kStart);
+    BOOST_TEST_CONTEXT(item.what) {
+      BOOST_TEST(fleet.Pick(kStart)->id == item.expected);
+    }
+  }
+}
+
+// A burst of twice the capacity of the own region: the part that crosses
+// regions is what the region has no slots for.
+BOOST_AUTO_TEST_CASE(BurstCrossesRegionsOnlyForWhatIsTooMuch) {
+  Fleet fleet;
+  std::map<std::string, int> calls;
+  for (uint32_t i = 0; i < 4 * kSlots; ++i) {
+    const Candidate* server = fleet.Pick(kStart);
+    server->state->OnSent();
+    ++calls[server->id];
+  }
+  BOOST_TEST(calls["s0"] + calls["s1"] >= 2 * static_cast<int>(kSlots) - 4);
+  BOOST_TEST(calls["s0"] + calls["s1"] <= 3 * static_cast<int>(kSlots));
+}
+
+BOOST_AUTO_TEST_CASE(AvoidsExcludedEjectedAndLeaving) {
+  Fleet fleet;
+  const std::vector<std::string> excluded = {"s0"};
+  BOOST_TEST(fleet.Pick(kStart, excluded)->id == "s1");
+  const Candidate* own = fleet.Pick(kStart);
+  for (int i = 0; i < 3; ++i) {
+    own->state->OnSent();
+    own->state->OnFailure(PeerFailure::kUnreachable, kStart);
+  }
+  BOOST_TEST(fleet.Pick(kStart)->id == "s1");
+  const std::vector<std::string> others = {"s1", "s2", "s3", "s4", "s5"};
+  BOOST_TEST_CONTEXT("an ejected server is better than none") {
+    BOOST_TEST(fleet.Pick(kStart, others)->id == "s0");
+  }
+  Fleet leaving;
+  leaving.Pick(kStart)->state->OnReport({0, 0, kSlots, true}, kStart);
+  BOOST_TEST(leaving.Pick(kStart)->id == "s1");
+  BOOST_TEST_CONTEXT("a node that restarted in place is tried again") {
+    BOOST_TEST(leaving.Pick(kStart + std::chrono::seconds(5))->id == "s0");
+  }
+}
+
+BOOST_AUTO_TEST_CASE(KeepsWhatWasLearnedOfServersThatStay) {
+  Fleet fleet;
+  fleet.Report(0, kSlots, kStart);
+  fleet.servers.pop_back();
+  fleet.Update(kStart + milliseconds(10));
+  BOOST_TEST(fleet.Pick(kStart + milliseconds(10))->id == "s1");
+  BOOST_TEST(fleet.placement.CountOf("work") == 5U);
+  BOOST_TEST(fleet.placement.CountOf("other") == 0U);
+  BOOST_TEST((fleet.placement.Pick("other", {}, kStart, &fleet.random) ==
+              nullptr));
+}
+
+}  // namespace
+}  // namespace vanillatiller
