--- a/Source/relay/placement.cc
+++ b/Source/relay/placement.cc
@@ -47,10 +47,10 @@
   // Servers of the first list run already, most of them for long.
   const bool may_be_cold = m_was_updated;
   m_was_updated = true;
-  std::map<std::string, std::shared_ptr<PeerState>> known;
+  std::map<std::string, Candidate> known;
   for (const auto& [service, candidates] : m_services) {
     for (const Candidate& candidate : candidates) {
-      known[candidate.id] = candidate.state;
+      known[candidate.id] = candidate;
     }
   }
   m_services.clear();
@@ -63,11 +63,14 @@
     candidate.slots = server->slots;
     candidate.distance = DistanceTo(*server);
     const auto found = known.find(server->id);
-    candidate.state =
-        found != known.end()
-            ? found->second
-            : std::make_shared<PeerState>(
-                  now, may_be_cold && server->warmup_left > Duration::zero());
+    if (found != known.end()) {
+      candidate.state = found->second.state;
+      candidate.quality = found->second.quality;
+    } else {
+      candidate.state = std::make_shared<PeerState>(
+          now, may_be_cold && server->warmup_left > Duration::zero());
+      candidate.quality = std::make_shared<ServerQuality>();
+    }
     m_services[server->service].push_back(std::move(candidate));
   }
 }
@@ -92,7 +95,8 @@
     }
     const bool is_ejected = state.IsEjected(now);
     const double cost = LoadCost(state.Load(candidate.slots, now)) +
-                        candidate.distance + kJitter * draw(*random);
+                        candidate.distance + candidate.quality->Cost(now) +
+                        kJitter * draw(*random);
     const bool is_better =
         best == nullptr || (best_is_ejected && !is_ejected) ||
         (best_is_ejected == is_ejected && cost < best_cost);
--- a/Source/relay/placement.h
+++ b/Source/relay/placement.h
@@ -12,6 +12,7 @@
 
 #include "base/base.h"
 #include "relay/server_directory.h"
+#include "relay/server_quality.h"
 #include "routing/routing.h"
 
 namespace vanillatiller {
@@ -27,6 +28,7 @@
   // Cost of the distance; see Placement.
   double distance = 0;
   std::shared_ptr<PeerState> state;
+  std::shared_ptr<ServerQuality> quality;
 };
 
 // Where this node stands.
@@ -43,8 +45,9 @@
 //
 // Load pattern: demand of one service exceeds the servers of a failure domain,
 // while others have room; or servers differ in speed. Each server counts with
-// a cost of its load, which rises steeply once it is nearly full, plus a
-// constant for its distance, and the lowest sum wins. So work stays near while
+// a cost of its load, which rises steeply once it is nearly full, plus one for
+// how badly it served of late, plus a constant for its distance, and the lowest
+// sum wins. So work stays near while
 // there is room, overflows to the own region first, and to other regions, which
 // cost 60 ms and paid bytes, only when calls would wait at all near servers.
 class Placement {
--- a/Source/relay/relay.h
+++ b/Source/relay/relay.h
@@ -23,6 +23,7 @@
 #include "relay/request_origin.h"    // IWYU pragma: export
 #include "relay/route_table.h"       // IWYU pragma: export
 #include "relay/server_directory.h"  // IWYU pragma: export
+#include "relay/server_quality.h"    // IWYU pragma: export
 
 namespace vanillatiller {
 
@@ -96,7 +97,7 @@
   static constexpr Duration kLongTick = std::chrono::milliseconds(200);
   // After Stop(), time during which callers that do not know it yet are served
   // like before: two status checks, a second apart, and their delays.
-  static constexpr Duration kStopNotice = std::chrono::milliseconds(3000);
+  static constexpr Duration kStopNotice = std::chrono::milliseconds(2500);
   // Kept free before the end of the grace time.
   static constexpr Duration kStopMargin = std::chrono::milliseconds(800);
 
--- a/Source/relay/request_origin.cc
+++ b/Source/relay/request_origin.cc
@@ -52,6 +52,8 @@
   std::string server_id;
   SocketAddress node;
   std::shared_ptr<PeerState> state;
+  std::shared_ptr<ServerQuality> quality;
+  TimePoint placed;
   // The best failure that a server answered with.
   std::optional<HttpResponse> failure;
 };
@@ -139,6 +141,8 @@
   request->server_id = server->id;
   request->node = server->node;
   request->state = server->state;
+  request->quality = server->quality;
+  request->placed = now;
   request->state->OnSent();
   const relay::Call call = CallFor(*request, *server, now);
   request->call = call.id();
@@ -175,12 +179,7 @@
 void RequestOrigin::OnResult(const RequestPtr& request, CallResult result,
                              TimePoint now) {
   request->call = 0;
-  PeerState& state = *request->state;
-  if (result.has_load) {
-    state.OnAnswer(result.load, now);
-  } else {
-    state.OnFailure(PeerFailure::kUnreachable, now);
-  }
+  Learn(*request, result, now);
   switch (result.outcome) {
     case Outcome::kComplete:
       if (result.response.status >= kFirstServerError) {
@@ -199,6 +198,33 @@
   }
 }
 
+void RequestOrigin::Learn(const Request& request, const CallResult& result,
+                          TimePoint now) {
+  PeerState& state = *request.state;
+  if (result.code == RefusalCode::kBackendUnreachable) {
+    state.OnFailure(PeerFailure::kBackendDown, now);
+    return;
+  }
+  if (!result.has_load) {
+    state.OnFailure(PeerFailure::kUnreachable, now);
+    return;
+  }
+  state.OnAnswer(result.load, now);
+  const bool was_served = result.outcome == Outcome::kComplete &&
+                          result.response.status < kFirstServerError;
+  if (was_served) {
+    const double relative_time = m_usual_times.Relate(
+        request.route->route().name, now - request.placed);
+    request.quality->OnSuccess(relative_time, now);
+    return;
+  }
+  // Refusals by the node beside the server show its load, not its quality.
+  const bool is_servers_failure =
+      result.outcome != Outcome::kNotRun ||
+      result.code == RefusalCode::kBackendRefused;
+  if (is_servers_failure) request.quality->OnFailure(now);
+}
+
 void RequestOrigin::OnNotRun(const RequestPtr& request,
                              const CallResult& result, TimePoint now) {
   if (result.expected_wait > Duration::zero()) {
@@ -277,6 +303,7 @@
   if (request->call != 0) {
     m_transport->Cancel(request->node, request->call, now);
     request->state->OnAbandoned();
+    request->quality->OnFailure(now);
     request->call = 0;
     request->may_have_run = true;
   }
--- a/Source/relay/request_origin.h
+++ b/Source/relay/request_origin.h
@@ -74,6 +74,8 @@
   relay::Call CallFor(const Request& request, const Candidate& server,
                       TimePoint now);
   void OnResult(const RequestPtr& request, CallResult result, TimePoint now);
+  // Notes what the result of a call says of its server.
+  void Learn(const Request& request, const CallResult& result, TimePoint now);
   void OnNotRun(const RequestPtr& request, const CallResult& result,
                 TimePoint now);
   void OnFailed(const RequestPtr& request, CallResult result, TimePoint now);
@@ -113,6 +115,7 @@
   uint64_t m_last_call = 0;
   std::map<HttpServerSession*, RequestPtr> m_requests;
   std::map<std::string, std::unique_ptr<EdgeBudget>> m_budgets;
+  UsualTimes m_usual_times;
 };
 
 }  // namespace vanillatiller
