--- a/Source/eventio/http_reader.cc
+++ b/Source/eventio/http_reader.cc
@@ -1,8 +1,26 @@
 #include "eventio/http_reader.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace vanillatiller {
+namespace {
+
+// Result of the callback for complete headers that ends the reading.
+constexpr int kInvalidHeaders = -1;
+
+// The parser lets spaces in names pass, which other readers drop or take for
+// the end of a name (RFC 9112, 5.1).
+bool AreNamesValid(const HttpHeaders& headers) {
+  return std::none_of(headers.fields().begin(), headers.fields().end(),
+                      [](const HttpHeader& field) {
+                        return field.name.empty() ||
+                               field.name.find_first_of(" \t") !=
+                                   std::string::npos;
+                      });
+}
+
+}  // namespace
 
 HttpReader::HttpReader(Kind kind, Limits limits) : m_limits(limits) {
   http_parser_init(&m_parser,
@@ -111,6 +129,7 @@
           ? http_method_str(static_cast<http_method>(parser->method))
           : "";
   self->m_message.status = static_cast<int>(parser->status_code);
+  if (!AreNamesValid(self->m_message.headers)) return kInvalidHeaders;
   return self->m_no_body ? 1 : 0;
 }
 
--- /dev/null
+++ b/Tests/eventio_test.cc
@@ -0,0 +1,226 @@
+#define BOOST_TEST_MODULE eventio
+#include "eventio/eventio.h"
+
+#include <boost/test/unit_test.hpp>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "relay_harness.h"
+
+namespace vanillatiller {
+namespace {
+
+using std::chrono::milliseconds;
+
+// Writes a script to each connection, then ends it in one of three ways.
+class ScriptedServer {
+ public:
+  enum class Ending : uint8_t { kKeepOpen, kClose, kReset };
+
+  ScriptedServer(EventLoop* loop, std::string script, Ending ending)
+      : m_loop(loop), m_script(std::move(script)), m_ending(ending) {
+    std::string reason;
+    address = {"127.0.0.1", FreeLoopbackPort()};
+    m_listener = TcpListener::Listen(
+        loop, address,
+        [this](std::shared_ptr<TcpConnection> connection, TimePoint) {
+          connection->SetHandler(&m_ignore);
+          m_connections.push_back(connection);
+          // Unread data makes the close a reset.
+          if (m_ending == Ending::kReset) {
+            m_loop->Schedule(BootClock::now(), [connection](TimePoint) {
+              connection->PauseReading();
+            });
+          }
+          m_loop->Schedule(BootClock::now() + milliseconds(30),
+                           [this, connection](TimePoint) { Play(connection); });
+        },
+        &reason);
+    BOOST_TEST_REQUIRE((m_listener != nullptr), reason);
+  }
+
+  SocketAddress address;
+
+ private:
+  class Ignore : public TcpHandler {
+    void OnConnected(TimePoint) override {}
+    void OnData(std::string_view, TimePoint) override {}
+    void OnEnd(ConnectionEnd, TimePoint) override {}
+  };
+
+  void Play(const std::shared_ptr<TcpConnection>& connection) {
+    connection->Write(m_script);
+    if (m_ending == Ending::kClose) connection->CloseWhenSent();
+    if (m_ending == Ending::kReset) connection->Close();
+  }
+
+  EventLoop* m_loop;
+  const std::string m_script;
+  const Ending m_ending;
+  Ignore m_ignore;
+  std::unique_ptr<TcpListener> m_listener;
+  std::vector<std::shared_ptr<TcpConnection>> m_connections;
+};
+
+ExchangeResult Exchange(const std::string& script,
+                        ScriptedServer::Ending ending) {
+  EventLoop loop;
+  ScriptedServer server(&loop, script, ending);
+  auto session =
+      std::make_shared<HttpClientSession>(&loop, server.address, "Test-Id");
+  HttpRequest request;
+  request.method = "GET";
+  request.target = "/";
+  request.headers.Add("Test-Id", "mine");
+  ExchangeResult result;
+  bool is_over = false;
+  session->Send(
+      request,
+      [&](ExchangeResult got, TimePoint) {
+        result = std::move(got);
+        is_over = true;
+      },
+      BootClock::now());
+  BOOST_TEST_REQUIRE(RunUntil(&loop, [&] { return is_over; }));
+  return result;
+}
+
+// What counts as the complete answer to the own request.
+BOOST_AUTO_TEST_CASE(OnlyTheWholeOwnAnswerCounts) {
+  using Ending = ScriptedServer::Ending;
+  struct Case {
+    const char* what;
+    std::string script;
+    Ending ending;
+    ExchangeEnd expected;
+    std::string body;
+  };
+  const std::string ok = "HTTP/1.1 200 OK\r\n";
+  const std::vector<Case> cases = {
+      {"with a length", ok + "Test-Id: mine\r\nContent-Length: 3\r\n\r\nabc",
+       Ending::kKeepOpen, ExchangeEnd::kAnswered, "abc"},
+      {"in chunks",
+       ok + "Test-Id: mine\r\nTransfer-Encoding: chunked\r\n\r\n"
+            "3\r\nabc\r\n0\r\n\r\n",
+       Ending::kKeepOpen, ExchangeEnd::kAnswered, "abc"},
+      {"without a length, closed in order", ok + "Test-Id: mine\r\n\r\nabc",
+       Ending::kClose, ExchangeEnd::kAnswered, "abc"},
+      {"without a length, reset", ok + "Test-Id: mine\r\n\r\nabc",
+       Ending::kReset, ExchangeEnd::kNoAnswer, ""},
+      {"cut short", ok + "Test-Id: mine\r\nContent-Length: 9\r\n\r\nabc",
+       Ending::kClose, ExchangeEnd::kNoAnswer, ""},
+      {"chunks cut short",
+       ok + "Test-Id: mine\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
+       Ending::kClose, ExchangeEnd::kNoAnswer, ""},
+      {"no answer at all", "", Ending::kClose, ExchangeEnd::kNoAnswer, ""},
+      {"not HTTP", "garbage\r\n\r\n", Ending::kKeepOpen,
+       ExchangeEnd::kNoAnswer, ""},
+      {"two lengths",
+       ok + "Test-Id: mine\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\n"
+            "abcd",
+       Ending::kKeepOpen, ExchangeEnd::kNoAnswer, ""},
+      {"a late answer to another request first",
+       ok + "Test-Id: other\r\nContent-Length: 3\r\n\r\nxyz" + ok +
+           "Test-Id: mine\r\nContent-Length: 3\r\n\r\nabc",
+       Ending::kKeepOpen, ExchangeEnd::kAnswered, "abc"},
+      {"only an answer to another request",
+       ok + "Test-Id: other\r\nContent-Length: 3\r\n\r\nxyz", Ending::kClose,
+       ExchangeEnd::kNoAnswer, ""},
+      {"informational answer first",
+       "HTTP/1.1 102 Processing\r\n\r\n" + ok +
+           "Test-Id: mine\r\nContent-Length: 3\r\n\r\nabc",
+       Ending::kKeepOpen, ExchangeEnd::kAnswered, "abc"},
+  };
+  for (const Case& item : cases) {
+    BOOST_TEST_CONTEXT(item.what) {
+      const ExchangeResult result = Exchange(item.script, item.ending);
+      BOOST_TEST((result.end == item.expected));
+      BOOST_TEST(result.response.body == item.body);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(AnUnmadeConnectionSentNothing) {
+  EventLoop loop;
+  auto session = std::make_shared<HttpClientSession>(
+      &loop, SocketAddress{"127.0.0.1", FreeLoopbackPort()}, "");
+  ExchangeResult result;
+  bool is_over = false;
+  session->Send(
+      HttpRequest{"GET", "/", {}, ""},
+      [&](ExchangeResult got, TimePoint) {
+        result = std::move(got);
+        is_over = true;
+      },
+      BootClock::now());
+  BOOST_TEST_REQUIRE(RunUntil(&loop, [&] { return is_over; }));
+  BOOST_TEST((result.end == ExchangeEnd::kNotSent));
+}
+
+// Reads as a server does, in pieces of every size.
+BOOST_AUTO_TEST_CASE(ReadsRequestsStrictly) {
+  struct Case {
+    const char* what;
+    std::string text;
+    HttpReader::Result expected;
+    std::string body;
+  };
+  using Result = HttpReader::Result;
+  const std::vector<Case> cases = {
+      {"no body", "GET /a HTTP/1.1\r\nHost: x\r\n\r\n", Result::kMessage, ""},
+      {"length", "POST /a HTTP/1.1\r\nContent-Length: 2\r\n\r\nhi",
+       Result::kMessage, "hi"},
+      {"chunks",
+       "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+       "2\r\nhi\r\n0\r\n\r\n",
+       Result::kMessage, "hi"},
+      {"length and chunks",
+       "POST /a HTTP/1.1\r\nContent-Length: 2\r\n"
+       "Transfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n",
+       Result::kError, ""},
+      {"space before the colon", "GET /a HTTP/1.1\r\nHost : x\r\n\r\n",
+       Result::kError, ""},
+      {"bad length", "POST /a HTTP/1.1\r\nContent-Length: -1\r\n\r\n",
+       Result::kError, ""},
+      {"too long a head",
+       "GET /a HTTP/1.1\r\nX: " + std::string(300, 'x') + "\r\n\r\n",
+       Result::kTooLarge, ""},
+      {"too long a body",
+       "POST /a HTTP/1.1\r\nContent-Length: 300\r\n\r\n" +
+           std::string(300, 'x'),
+       Result::kTooLarge, ""},
+  };
+  for (const Case& item : cases) {
+    for (size_t piece = 1; piece <= item.text.size(); piece += 7) {
+      BOOST_TEST_CONTEXT(item.what << ", pieces of " << piece) {
+        HttpReader reader(HttpReader::Kind::kRequests, {200, 200});
+        Result result = Result::kNeedsMore;
+        std::string_view left = item.text;
+        while (!left.empty() && result == Result::kNeedsMore) {
+          std::string_view data = left.substr(0, piece);
+          left.remove_prefix(data.size());
+          result = reader.Read(&data);
+        }
+        BOOST_TEST((result == item.expected));
+        if (result == Result::kMessage) {
+          BOOST_TEST(reader.Take().body == item.body);
+        }
+      }
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(DropsFieldsOfOneConnection) {
+  HttpHeaders headers;
+  headers.Add("Connection", "close, X-Private");
+  headers.Add("X-Private", "1");
+  headers.Add("Transfer-Encoding", "chunked");
+  headers.Add("X-Kept", "2");
+  headers.RemoveConnectionFields();
+  BOOST_TEST_REQUIRE(headers.fields().size() == 1U);
+  BOOST_TEST(headers.fields()[0].name == "X-Kept");
+}
+
+}  // namespace
+}  // namespace vanillatiller
--- /dev/null
+++ b/Tests/platform_test.cc
@@ -0,0 +1,289 @@
+#define BOOST_TEST_MODULE platform
+#include <boost/test/unit_test.hpp>
+#include <deque>
+#include <string>
+#include <vector>
+
+#include "absl/strings/escaping.h"
+#include "platform/node_settings.h"
+#include "platform/store_client.h"
+#include "relay_harness.h"
+
+namespace vanillatiller::platform {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr const char* kSettings = R"(
+node_name = "vm-1"
+ip = "10.1.0.8"
+zone = "z1"
+region = "r1"
+bounds = ["grace_s=6","retry_budget_ratio=0.2"]
+app_addr = "10.1.0.8:8301"
+service = "work"
+something_new = [1, 2]
+[zones]
+z1 = "r1"
+z2 = "r2"
+[listen]
+inbound = "10.1.0.8:8300"
+outbound = "10.1.0.8:8304"
+ready = "10.1.0.8:8302"
+[platform]
+address = "10.200.1.7:8309"
+)";
+
+BOOST_AUTO_TEST_CASE(ReadsSettings) {
+  Findings findings;
+  const auto settings = ParseNodeSettings(kSettings, "node.toml", &findings);
+  BOOST_TEST_REQUIRE(settings.has_value(), FormatFindings(findings));
+  BOOST_TEST(settings->relay.vm == "vm-1");
+  BOOST_TEST(settings->relay.caller_listener.ToString() == "10.1.0.8:8304");
+  BOOST_TEST(settings->relay.peer_listener.ToString() == "10.1.0.8:8300");
+  BOOST_TEST(settings->relay.server.ToString() == "10.1.0.8:8301");
+  BOOST_TEST(settings->relay.locality.regions.at("z2") == "r2");
+  BOOST_TEST((settings->relay.stop_grace == std::chrono::seconds(6)));
+  BOOST_TEST(settings->store.ToString() == "10.200.1.7:8309");
+}
+
+BOOST_AUTO_TEST_CASE(ReportsAllFaultsOfSettingsWithPlace) {
+  struct Case {
+    const char* what;
+    std::string text;
+    size_t findings;
+  };
+  const std::string good = kSettings;
+  const auto replaced = [&good](const std::string& from,
+                                const std::string& to) {
+    std::string text = good;
+    return text.replace(text.find(from), from.size(), to);
+  };
+  const std::vector<Case> cases = {
+      {"no service", replaced("service = \"work\"\n", ""), 1},
+      {"bad address", replaced("10.1.0.8:8301", "10.1.0.8"), 1},
+      {"bad port", replaced("10.1.0.8:8301", "10.1.0.8:99999"), 1},
+      {"no store", replaced("[platform]\naddress", "[other]\naddress"), 1},
+      {"not TOML", "= =", 1},
+      {"empty", "", 7},
+  };
+  for (const Case& item : cases) {
+    BOOST_TEST_CONTEXT(item.what) {
+      Findings findings;
+      BOOST_TEST(!ParseNodeSettings(item.text, "node.toml", &findings));
+      BOOST_TEST(findings.size() == item.findings, FormatFindings(findings));
+    }
+  }
+}
+
+constexpr const char* kConfig = R"({"version":7,"limits":
+{"max_header_bytes":16384,"max_body_bytes":1000,"header_timeout_ms":3000,
+"idle_timeout_ms":15000},"listeners":[{"host":"a.example","rules":[
+{"name":"r1","type":"unsafe","target_latency_ms":4000,"priority":2,
+"match":{"prefix":"/p/"},"action":{"service":"work","timeout_ms":2000,
+"max_attempts":2}},{"name":"r2","type":"safe","target_latency_ms":1500,
+"priority":1,"match":{"prefix":"/q/"},"action":{"traffic_split":
+[{"service":"work","weight":90},{"service":"rest","weight":10}],
+"timeout_ms":1500,"max_attempts":3}}]}],"clusters":[]})";
+
+BOOST_AUTO_TEST_CASE(DecodesTheConfiguration) {
+  std::string reason;
+  const auto config = DecodeConfig(kConfig, &reason);
+  BOOST_TEST_REQUIRE(config.has_value(), reason);
+  BOOST_TEST(config->version == 7U);
+  BOOST_TEST((config->limits.idle_timeout == std::chrono::seconds(15)));
+  BOOST_TEST_REQUIRE(config->routes.size() == 2U);
+  const RelayRoute& once = config->routes[0];
+  BOOST_TEST(!once.idempotent);
+  BOOST_TEST(once.rank == 2U);
+  BOOST_TEST((once.timeout == milliseconds(2000)));
+  BOOST_TEST((once.objective == milliseconds(4000)));
+  const RelayRoute& split = config->routes[1];
+  BOOST_TEST(split.idempotent);
+  BOOST_TEST(split.max_attempts == 3U);
+  BOOST_TEST_REQUIRE(split.shares.size() == 2U);
+  BOOST_TEST(split.shares[1].service == "rest");
+  BOOST_TEST(split.shares[1].weight == 10U);
+}
+
+std::string ServerValue(const std::string& state, const std::string& extra) {
+  return R"({"address":"10.0.0.9:8080","info":{"service":"work",
+"version":"v1","zone":"z1","slots":72},"status":{"state":")" +
+         state + R"(","sequence":4,"warmup_remaining_ms":0})" + extra + "}";
+}
+
+// Records of other writers name no server, and harm none.
+BOOST_AUTO_TEST_CASE(DecodesOnlyWellFormedServers) {
+  struct Case {
+    const char* what;
+    std::string value;
+    bool is_server;
+  };
+  const std::vector<Case> cases = {
+      {"ready", ServerValue("ready", ""), true},
+      {"draining", ServerValue("draining", ""), true},
+      {"with a start", ServerValue("ready", ",\"born\":1700000000000"), true},
+      {"unknown state", ServerValue("waiting", ""), false},
+      {"start is text", ServerValue("ready", ",\"born\":\"x\""), false},
+      {"no status",
+       R"({"address":"10.0.0.9:8080","info":{"service":"work","zone":"z1",
+"slots":72}})",
+       false},
+      {"slots are text",
+       R"({"address":"10.0.0.9:8080","info":{"service":"work","zone":"z1",
+"slots":"72"},"status":{"state":"ready","sequence":1,
+"warmup_remaining_ms":0}})",
+       false},
+      {"a list", "[]", false},
+      {"not JSON", "\x80\x01", false},
+      {"empty", "", false},
+  };
+  for (const Case& item : cases) {
+    BOOST_TEST_CONTEXT(item.what) {
+      std::string reason;
+      const auto record =
+          DecodeServer({"servers/i-1", item.value, 5, false}, &reason);
+      BOOST_TEST(record.has_value() == item.is_server);
+      if (record) BOOST_TEST(record->id == "i-1");
+    }
+  }
+}
+
+std::string Item(const std::string& key, const std::string& value,
+                 uint64_t revision) {
+  std::string encoded;
+  absl::Base64Escape(value, &encoded);
+  return R"({"key":")" + key + R"(","value":")" + encoded +
+         R"(","revision":)" + std::to_string(revision) +
+         R"(,"created_rev":1,"lease":0,"current_rev":)" +
+         std::to_string(revision) + "}";
+}
+
+std::string ConfigVersion(int version) {
+  std::string text = kConfig;
+  return text.replace(text.find(":7"), 2, ":" + std::to_string(version));
+}
+
+// A store that answers by a script, one answer a call.
+class ScriptedStore : public HttpRequestHandler {
+ public:
+  struct Answer {
+    int status = 200;
+    std::string body;
+  };
+
+  explicit ScriptedStore(EventLoop* loop) : m_loop(loop) {
+    address = {"127.0.0.1", FreeLoopbackPort()};
+    std::string reason;
+    m_listener = TcpListener::Listen(
+        loop, address,
+        [this](std::shared_ptr<TcpConnection> connection, TimePoint now) {
+          HttpServerSession::Start(m_loop, std::move(connection), this, {},
+                                   now);
+        },
+        &reason);
+  }
+
+  void OnRequest(const std::shared_ptr<HttpServerSession>& session,
+                 HttpRequest request, TimePoint now) override {
+    calls.push_back(request.target);
+    for (auto& [prefix, answers] : script) {
+      if (!request.target.starts_with(prefix) || answers.empty()) continue;
+      const Answer answer = answers.front();
+      answers.pop_front();
+      session->Respond(HttpResponse{answer.status, {}, answer.body}, now);
+      return;
+    }
+    // A watch without news.
+    m_waiting.push_back(session);
+  }
+  void OnCallerGone(const std::shared_ptr<HttpServerSession>&,
+                    TimePoint) override {}
+
+  SocketAddress address;
+  std::vector<std::string> calls;
+  std::vector<std::pair<std::string, std::deque<Answer>>> script;
+
+ private:
+  EventLoop* m_loop;
+  std::unique_ptr<TcpListener> m_listener;
+  std::vector<std::shared_ptr<HttpServerSession>> m_waiting;
+};
+
+struct StoreFixture {
+  StoreFixture()
+      : store(&pair.loop),
+        client(&pair.loop, store.address, pair.front.get(), &pair.log) {}
+
+  double ConfigVersionInForce() {
+    return pair.front->metrics()->gauges["config_version"];
+  }
+  bool HasWatched(uint64_t after) {
+    const std::string wanted = "after=" + std::to_string(after) + "&";
+    return !store.calls.empty() &&
+           store.calls.back().find(wanted) != std::string::npos;
+  }
+
+  RelayPair pair;
+  ScriptedStore store;
+  StoreClient client;
+};
+
+// The configuration changes between the two reads of the start: the watch must
+// begin at the older of them, or the change is missed for good.
+BOOST_FIXTURE_TEST_CASE(WatchesFromTheOlderRead, StoreFixture) {
+  store.script = {
+      {"/-/kv-range",
+       {{200, R"({"items":[)" + Item("servers/i-1", ServerValue("ready", ""),
+                                     8) +
+                  R"(],"more_pages":false,"current_rev":10})"}}},
+      {"/-/kv-key", {{200, Item("op/config", ConfigVersion(7), 12)}}},
+  };
+  client.Start(BootClock::now());
+  BOOST_TEST(RunUntil(&pair.loop, [&] { return HasWatched(10); }));
+  BOOST_TEST(
+      RunUntil(&pair.loop, [&] { return ConfigVersionInForce() == 7; }));
+}
+
+BOOST_FIXTURE_TEST_CASE(FollowsChangesAndNeverGoesBack, StoreFixture) {
+  const std::string list = R"({"items":[],"more_pages":false,"current_rev":10})";
+  store.script = {
+      {"/-/kv-range", {{200, list}, {200, list}}},
+      {"/-/kv-key",
+       {{200, Item("op/config", ConfigVersion(7), 5)},
+        {200, Item("op/config", ConfigVersion(8), 11)}}},
+      {"/-/kv-watch",
+       {{200,
+         R"({"events":[)" + Item("op/config", ConfigVersion(9), 11) + "," +
+             Item("op/config", ConfigVersion(8), 12) +
+             R"(],"current_rev":12})"},
+        {503, ""},
+        {410, ""}}},
+  };
+  client.Start(BootClock::now());
+  BOOST_TEST(
+      RunUntil(&pair.loop, [&] { return ConfigVersionInForce() == 9; }));
+  BOOST_TEST_CONTEXT("refused, then the history is gone: all is read again") {
+    BOOST_TEST(RunUntil(&pair.loop, [&] {
+      return store.script[1].second.empty() && HasWatched(10);
+    }));
+    RunFor(&pair.loop, milliseconds(300));
+    BOOST_TEST(ConfigVersionInForce() == 9);
+  }
+}
+
+BOOST_FIXTURE_TEST_CASE(ReadsAllPages, StoreFixture) {
+  store.script = {
+      {"/-/kv-range?prefix=servers/&after=servers/i-1",
+       {{200, R"({"items":[],"more_pages":false,"current_rev":11})"}}},
+      {"/-/kv-range",
+       {{200, R"({"items":[)" + Item("servers/i-1", "not JSON", 8) +
+                  R"(],"more_pages":true,"current_rev":10})"}}},
+      {"/-/kv-key", {{404, ""}}},
+  };
+  client.Start(BootClock::now());
+  BOOST_TEST(RunUntil(&pair.loop, [&] { return HasWatched(10); }));
+}
+
+}  // namespace
+}  // namespace vanillatiller::platform
--- /dev/null
+++ b/Tests/relay_harness.cc
@@ -0,0 +1,319 @@
+#include "relay_harness.h"
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <boost/test/unit_test.hpp>
+#include <utility>
+
+namespace vanillatiller {
+namespace {
+
+constexpr const char* kLoopback = "127.0.0.1";
+// Where the front node finds the back node: the disturbed network.
+constexpr const char* kDisturbed = "127.0.0.2";
+constexpr Duration kPatience = std::chrono::seconds(10);
+constexpr Duration kPollPeriod = std::chrono::milliseconds(2);
+
+void Poll(EventLoop* loop, const std::function<bool()>& done, TimePoint end,
+          bool* succeeded) {
+  loop->Schedule(BootClock::now() + kPollPeriod, [=](TimePoint now) {
+    *succeeded = done();
+    if (*succeeded || now >= end) {
+      loop->Stop();
+      return;
+    }
+    Poll(loop, done, end, succeeded);
+  });
+}
+
+int DevNull() { return open("/dev/null", O_WRONLY); }
+
+RelayRoute MakeRoute(const std::string& prefix, bool idempotent) {
+  RelayRoute route;
+  route.name = idempotent ? "many" : "once";
+  route.authority = "test.example";
+  route.prefix = prefix;
+  route.idempotent = idempotent;
+  route.timeout = std::chrono::seconds(5);
+  route.max_attempts = 2;
+  route.shares = {{"work", 1}};
+  return route;
+}
+
+}  // namespace
+
+uint16_t FreeLoopbackPort() {
+  const int fd = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_ANY);
+  socklen_t length = sizeof(address);
+  BOOST_TEST_REQUIRE(
+      bind(fd, reinterpret_cast<sockaddr*>(&address), length) == 0);
+  getsockname(fd, reinterpret_cast<sockaddr*>(&address), &length);
+  close(fd);
+  return ntohs(address.sin_port);
+}
+
+bool RunUntil(EventLoop* loop, const std::function<bool()>& done) {
+  bool succeeded = false;
+  Poll(loop, done, BootClock::now() + kPatience, &succeeded);
+  loop->Run();
+  return succeeded;
+}
+
+void RunFor(EventLoop* loop, Duration time) {
+  loop->Schedule(BootClock::now() + time,
+                 [loop](TimePoint) { loop->Stop(); });
+  loop->Run();
+}
+
+ProtocolNames TestNames() {
+  ProtocolNames names;
+  names.request_id = "Test-Id";
+  names.time_left_ms = "Test-Time-Left";
+  names.answer_digest = "Test-Digest";
+  names.target_server = "Test-Server";
+  names.not_run = "Test-Not-Run";
+  names.retry_after = "Retry-After";
+  names.calling_service = "Test-From";
+  return names;
+}
+
+FakeServer::FakeServer(EventLoop* loop, uint16_t port) : m_loop(loop) {
+  std::string reason;
+  m_listener = TcpListener::Listen(
+      loop, {kLoopback, port},
+      [this](std::shared_ptr<TcpConnection> connection, TimePoint now) {
+        HttpServerSession::Start(m_loop, std::move(connection), this, {}, now);
+      },
+      &reason);
+  BOOST_TEST_REQUIRE((m_listener != nullptr), reason);
+}
+
+void FakeServer::OnRequest(const std::shared_ptr<HttpServerSession>& session,
+                           HttpRequest request, TimePoint now) {
+  const std::string id(request.headers.Find("test-id").value_or(""));
+  const std::string target = request.target;
+  arrivals.push_back({std::move(request), id});
+  if (target.ends_with("/hold")) {
+    m_held[session] = id;
+    return;
+  }
+  if (target.ends_with("/ok")) {
+    AnswerOk(session, id, now);
+    return;
+  }
+  HttpResponse response;
+  response.status = target.ends_with("/shed") ? 503 : 500;
+  response.headers.Add("Test-Id", id);
+  if (response.status == 503) response.headers.Add("Test-Not-Run", "1");
+  session->Respond(response, now);
+}
+
+void FakeServer::AnswerOk(const std::shared_ptr<HttpServerSession>& session,
+                          const std::string& id, TimePoint now) {
+  HttpResponse response;
+  response.status = 200;
+  response.headers.Add("Test-Id", id);
+  response.headers.Add("Test-Digest", "digest-" + id);
+  response.body = "body-" + id;
+  session->Respond(response, now);
+}
+
+void FakeServer::OnCallerGone(const std::shared_ptr<HttpServerSession>& session,
+                              TimePoint) {
+  gone.push_back(m_held[session]);
+  m_held.erase(session);
+}
+
+void FakeServer::Release(TimePoint now) {
+  for (const auto& [session, id] : std::exchange(m_held, {})) {
+    AnswerOk(session, id, now);
+  }
+}
+
+// One forwarded connection.
+class FakeNetwork::Pair {
+ public:
+  Pair(EventLoop* loop, std::shared_ptr<TcpConnection> near,
+       const SocketAddress& to)
+      : m_near_side(this, &m_far), m_far_side(this, &m_near) {
+    m_near = std::move(near);
+    m_near->SetHandler(&m_near_side);
+    m_far = TcpConnection::Connect(loop, to, &m_far_side);
+  }
+  ~Pair() { Cut(); }
+
+  void Cut() {
+    for (auto* side : {&m_near, &m_far}) {
+      if (*side) (*side)->Close();
+      side->reset();
+    }
+  }
+  void Silence() { m_silent = true; }
+
+ private:
+  class Side : public TcpHandler {
+   public:
+    Side(Pair* pair, std::shared_ptr<TcpConnection>* other)
+        : m_pair(pair), m_other(other) {}
+
+    void OnConnected(TimePoint) override {
+      if (*m_other) (*m_pair).m_far->Write(std::exchange(m_pair->m_early, {}));
+    }
+    void OnData(std::string_view data, TimePoint) override {
+      if (m_pair->m_silent || !*m_other) return;
+      if (!(*m_other)->IsOpen()) {
+        m_pair->m_early += data;
+        return;
+      }
+      (*m_other)->Write(std::string(data));
+    }
+    void OnEnd(ConnectionEnd, TimePoint) override {
+      if (*m_other && !m_pair->m_silent) (*m_other)->CloseWhenSent();
+      m_other->reset();
+    }
+
+   private:
+    Pair* m_pair;
+    std::shared_ptr<TcpConnection>* m_other;
+  };
+
+  std::shared_ptr<TcpConnection> m_near;
+  std::shared_ptr<TcpConnection> m_far;
+  Side m_near_side;
+  Side m_far_side;
+  std::string m_early;
+  bool m_silent = false;
+};
+
+FakeNetwork::FakeNetwork(EventLoop* loop, const SocketAddress& from,
+                         const SocketAddress& to)
+    : m_loop(loop), m_to(to) {
+  std::string reason;
+  m_listener = TcpListener::Listen(
+      loop, from,
+      [this](std::shared_ptr<TcpConnection> connection, TimePoint) {
+        ++m_accepted;
+        m_pairs.push_back(
+            std::make_shared<Pair>(m_loop, std::move(connection), m_to));
+      },
+      &reason);
+  BOOST_TEST_REQUIRE((m_listener != nullptr), reason);
+}
+
+FakeNetwork::~FakeNetwork() = default;
+
+void FakeNetwork::Reset() { m_pairs.clear(); }
+
+void FakeNetwork::Silence() {
+  for (const auto& pair : m_pairs) pair->Silence();
+}
+
+RelayPair::RelayPair()
+    : server_port(FreeLoopbackPort()),
+      peer_port(FreeLoopbackPort()),
+      log(DevNull(), "test"),
+      server(&loop, server_port),
+      network(&loop, {kDisturbed, peer_port}, {kLoopback, peer_port}) {
+  back_settings.vm = "back";
+  back_settings.service = "work";
+  back_settings.peer_listener = {kLoopback, peer_port};
+  back_settings.caller_listener = {kLoopback, FreeLoopbackPort()};
+  back_settings.health_listener = {kLoopback, FreeLoopbackPort()};
+  back_settings.server = {kLoopback, server_port};
+  back_settings.names = TestNames();
+  back_settings.locality.peer_port = peer_port;
+  back_settings.incarnation = 1000;
+  front_settings = back_settings;
+  front_settings.vm = "front";
+  front_settings.service = "shop";
+  front_settings.peer_listener = {"127.0.0.3", peer_port};
+  front_settings.caller_listener = {kLoopback, FreeLoopbackPort()};
+  front_settings.health_listener = {kLoopback, FreeLoopbackPort()};
+  front_settings.server = {kLoopback, FreeLoopbackPort()};
+  front_settings.incarnation = 1;
+  front_settings.retry_budget = {1, 10};
+  back = MakeRelay(back_settings);
+  front = MakeRelay(front_settings);
+}
+
+RelayPair::~RelayPair() = default;
+
+std::unique_ptr<Relay> RelayPair::MakeRelay(const RelaySettings& settings) {
+  const TimePoint now = BootClock::now();
+  auto relay = std::make_unique<Relay>(&loop, settings, &log, now);
+  std::string reason;
+  BOOST_TEST_REQUIRE(relay->Start(&reason), reason);
+  RelayConfig config;
+  config.version = 1;
+  config.routes = {MakeRoute("/", true), MakeRoute("/once/", false)};
+  relay->ApplyConfig(config, now);
+  ServerRecord record;
+  record.id = "server-1";
+  record.service = "work";
+  record.address = {kDisturbed, server_port};
+  record.slots = 2;
+  record.revision = 1;
+  relay->ApplyServers({record}, 1, now);
+  return relay;
+}
+
+void RelayPair::RestartBack() {
+  back.reset();
+  // Lets the loop close the old listeners.
+  RunFor(&loop, std::chrono::milliseconds(20));
+  ++back_settings.incarnation;
+  back = MakeRelay(back_settings);
+}
+
+std::shared_ptr<FakeCall> RelayPair::Send(const std::string& path,
+                                          const std::string& id,
+                                          Duration time_left) {
+  auto call = std::make_shared<FakeCall>();
+  call->session = std::make_shared<HttpClientSession>(
+      &loop, front_settings.caller_listener, "");
+  HttpRequest request;
+  request.method = "GET";
+  request.target = path;
+  request.headers.Add("Host", "test.example");
+  request.headers.Add("Test-Id", id);
+  request.headers.Add(
+      "Test-Time-Left",
+      std::to_string(
+          std::chrono::duration_cast<std::chrono::milliseconds>(time_left)
+              .count()));
+  call->session->Send(
+      request,
+      [weak = std::weak_ptr(call)](ExchangeResult result, TimePoint) {
+        if (const auto done = weak.lock()) {
+          done->is_over = true;
+          done->result = std::move(result);
+        }
+      },
+      BootClock::now());
+  return call;
+}
+
+int RelayPair::ReadinessOf(const SocketAddress& health) {
+  auto session = std::make_shared<HttpClientSession>(&loop, health, "");
+  HttpRequest request;
+  request.method = "GET";
+  request.target = "/ready";
+  int status = 0;
+  session->Send(
+      request,
+      [&status](ExchangeResult result, TimePoint) {
+        status = result.end == ExchangeEnd::kAnswered ? result.response.status
+                                                      : -1;
+      },
+      BootClock::now());
+  RunUntil(&loop, [&status] { return status != 0; });
+  return status;
+}
+
+}  // namespace vanillatiller
--- /dev/null
+++ b/Tests/relay_test.cc
@@ -0,0 +1,185 @@
+#define BOOST_TEST_MODULE relay
+#include "relay/relay.h"
+
+#include <boost/test/unit_test.hpp>
+#include <string>
+#include <vector>
+
+#include "relay_harness.h"
+
+namespace vanillatiller {
+namespace {
+
+using std::chrono::milliseconds;
+
+std::string HeaderOf(const HttpHeaders& headers, std::string_view name) {
+  return std::string(headers.Find(name).value_or("(none)"));
+}
+
+BOOST_AUTO_TEST_CASE(CarriesARequestAndItsAnswer) {
+  RelayPair pair;
+  const auto call = pair.Send("/ok", "r1");
+  BOOST_TEST_REQUIRE(RunUntil(&pair.loop, [&] { return call->is_over; }));
+  const HttpResponse& answer = call->result.response;
+  BOOST_TEST(answer.status == 200);
+  BOOST_TEST(answer.body == "body-r1");
+  BOOST_TEST(HeaderOf(answer.headers, "Test-Digest") == "digest-r1");
+  BOOST_TEST_REQUIRE(pair.server.arrivals.size() == 1U);
+  const HttpHeaders& seen = pair.server.arrivals[0].request.headers;
+  BOOST_TEST(HeaderOf(seen, "Test-From") == "shop");
+  BOOST_TEST(HeaderOf(seen, "Test-Server") == "server-1");
+  BOOST_TEST(std::stoi(HeaderOf(seen, "Test-Time-Left")) <= 5000);
+}
+
+BOOST_AUTO_TEST_CASE(AnswersWithoutAServer) {
+  struct Case {
+    const char* what;
+    const char* path;
+    int status;
+    size_t arrivals;
+  };
+  const std::vector<Case> cases = {
+      {"refused once more", "/shed", 503, 1},
+      {"refused, not idempotent", "/once/shed", 503, 1},
+      {"failed, not idempotent", "/once/fail", 500, 1},
+  };
+  for (const Case& item : cases) {
+    BOOST_TEST_CONTEXT(item.what) {
+      RelayPair pair;
+      const auto call = pair.Send(item.path, "r1");
+      BOOST_TEST_REQUIRE(RunUntil(&pair.loop, [&] { return call->is_over; }));
+      BOOST_TEST(call->result.response.status == item.status);
+      BOOST_TEST(pair.server.arrivals.size() == item.arrivals);
+    }
+  }
+}
+
+// The server runs the request and no other is left to try: it may have run, so
+// the answer must not say that it has not.
+BOOST_AUTO_TEST_CASE(AFailedRequestIsNeverRefused) {
+  RelayPair pair;
+  const auto call = pair.Send("/fail", "r1");
+  BOOST_TEST_REQUIRE(RunUntil(&pair.loop, [&] { return call->is_over; }));
+  BOOST_TEST(call->result.response.status == 500);
+  BOOST_TEST(HeaderOf(call->result.response.headers, "Retry-After") ==
+             "(none)");
+}
+
+BOOST_AUTO_TEST_CASE(StopsIdempotentWorkWhenItsCallerLeaves) {
+  RelayPair pair;
+  const auto safe = pair.Send("/hold", "safe");
+  const auto once = pair.Send("/once/hold", "once");
+  BOOST_TEST_REQUIRE(
+      RunUntil(&pair.loop, [&] { return pair.server.held() == 2; }));
+  safe->session->Abort();
+  once->session->Abort();
+  BOOST_TEST_REQUIRE(
+      RunUntil(&pair.loop, [&] { return !pair.server.gone.empty(); }));
+  RunFor(&pair.loop, milliseconds(100));
+  BOOST_TEST(pair.server.gone == std::vector<std::string>{"safe"},
+             boost::test_tools::per_element());
+}
+
+// A third request waits at the node, not at the server, and starts when a slot
+// is free.
+BOOST_AUTO_TEST_CASE(ServerGetsNoMoreThanItsSlots) {
+  RelayPair pair;
+  std::vector<std::shared_ptr<FakeCall>> calls;
+  for (int i = 0; i < 3; ++i) {
+    calls.push_back(pair.Send("/hold", "r" + std::to_string(i)));
+  }
+  BOOST_TEST_REQUIRE(
+      RunUntil(&pair.loop, [&] { return pair.server.held() == 2; }));
+  RunFor(&pair.loop, milliseconds(100));
+  BOOST_TEST(pair.server.arrivals.size() == 2U);
+  pair.server.Release(BootClock::now());
+  BOOST_TEST_REQUIRE(
+      RunUntil(&pair.loop, [&] { return pair.server.held() == 1; }));
+  pair.server.Release(BootClock::now());
+  BOOST_TEST_REQUIRE(RunUntil(&pair.loop, [&] {
+    return calls[0]->is_over && calls[1]->is_over && calls[2]->is_over;
+  }));
+}
+
+// The connection between the nodes is reset, or falls silent, while a request
+// runs that must not be repeated: its answer arrives all the same.
+BOOST_AUTO_TEST_CASE(AnswersSurviveTheConnectionBetweenNodes) {
+  struct Case {
+    const char* what;
+    void (FakeNetwork::*disturb)();
+  };
+  const std::vector<Case> cases = {{"reset", &FakeNetwork::Reset},
+                                   {"silence", &FakeNetwork::Silence}};
+  for (const Case& item : cases) {
+    BOOST_TEST_CONTEXT(item.what) {
+      RelayPair pair;
+      const auto call = pair.Send("/once/hold", "r1");
+      BOOST_TEST_REQUIRE(
+          RunUntil(&pair.loop, [&] { return pair.server.held() == 1; }));
+      (pair.network.*item.disturb)();
+      BOOST_TEST_REQUIRE(
+          RunUntil(&pair.loop, [&] { return pair.network.accepted() == 2; }));
+      RunFor(&pair.loop, milliseconds(50));
+      pair.server.Release(BootClock::now());
+      BOOST_TEST_REQUIRE(RunUntil(&pair.loop, [&] { return call->is_over; }));
+      BOOST_TEST(call->result.response.status == 200);
+      BOOST_TEST(pair.server.arrivals.size() == 1U);
+    }
+  }
+}
+
+// The answer was sent on a connection that was already silent.
+BOOST_AUTO_TEST_CASE(AnswersThatWereSentIntoSilenceAreSentAgain) {
+  RelayPair pair;
+  const auto call = pair.Send("/once/hold", "r1");
+  BOOST_TEST_REQUIRE(
+      RunUntil(&pair.loop, [&] { return pair.server.held() == 1; }));
+  pair.network.Silence();
+  pair.server.Release(BootClock::now());
+  BOOST_TEST_REQUIRE(RunUntil(&pair.loop, [&] { return call->is_over; }));
+  BOOST_TEST(call->result.response.status == 200);
+  BOOST_TEST(pair.server.arrivals.size() == 1U);
+}
+
+// The node beside the server restarts: what became of the call is not known, so
+// it is neither repeated nor refused.
+BOOST_AUTO_TEST_CASE(ARestartedNodeLeavesTheFateUnknown) {
+  RelayPair pair;
+  const auto call = pair.Send("/once/hold", "r1");
+  BOOST_TEST_REQUIRE(
+      RunUntil(&pair.loop, [&] { return pair.server.held() == 1; }));
+  pair.RestartBack();
+  pair.network.Reset();
+  BOOST_TEST_REQUIRE(RunUntil(&pair.loop, [&] { return call->is_over; }));
+  BOOST_TEST(call->result.response.status == 502);
+  BOOST_TEST(pair.server.arrivals.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(StopsInOrder) {
+  RelayPair pair;
+  BOOST_TEST(pair.ReadinessOf(pair.front_settings.health_listener) == 200);
+  const auto running = pair.Send("/hold", "running");
+  BOOST_TEST_REQUIRE(
+      RunUntil(&pair.loop, [&] { return pair.server.held() == 1; }));
+  bool is_stopped = false;
+  pair.front->Stop([&] { is_stopped = true; }, BootClock::now());
+  BOOST_TEST(pair.ReadinessOf(pair.front_settings.health_listener) == 503);
+  const auto early = pair.Send("/ok", "early");
+  BOOST_TEST_REQUIRE(RunUntil(&pair.loop, [&] { return early->is_over; }));
+  BOOST_TEST(early->result.response.status == 200);
+  // The notice that callers get is over.
+  RunFor(&pair.loop, milliseconds(3000));
+  BOOST_TEST(!is_stopped);
+  const auto late = pair.Send("/ok", "late");
+  BOOST_TEST_REQUIRE(RunUntil(&pair.loop, [&] { return late->is_over; }));
+  BOOST_TEST(late->result.response.status == 503);
+  BOOST_TEST(HeaderOf(late->result.response.headers, "Retry-After") !=
+             "(none)");
+  pair.server.Release(BootClock::now());
+  BOOST_TEST_REQUIRE(RunUntil(&pair.loop, [&] { return running->is_over; }));
+  BOOST_TEST(running->result.response.status == 200);
+  BOOST_TEST(RunUntil(&pair.loop, [&] { return is_stopped; }));
+}
+
+}  // namespace
+}  // namespace vanillatiller
