--- a/Source/relay/peer_client.cc
+++ b/Source/relay/peer_client.cc
@@ -149,6 +149,7 @@
 
 void PeerClient::OnLost(bool refused, TimePoint now) {
   m_events.on_change(refused ? "refused" : "lost", now);
+  m_events.on_suspect(now);
   EndCalls([](const Waiting& waiting) { return waiting.connection == 0; },
            Outcome::kNotRun, RefusalCode::kConnectionLost, now);
   if (refused) {
@@ -200,6 +201,7 @@
     Disconnect();
     m_reconnect_at = now + kReconnectDelay;
     m_events.on_change("connect-timeout", now);
+    m_events.on_suspect(now);
     EndCalls([](const Waiting& waiting) { return waiting.connection == 0; },
              Outcome::kNotRun, RefusalCode::kConnectionLost, now);
   }
@@ -215,6 +217,7 @@
     OnLost(false, now);
     return;
   }
+  if (now - m_heard >= kSuspectAfter) m_events.on_suspect(now);
   if (now - m_heard >= kProbeAfter && now - m_probed >= kProbeAfter) {
     m_probed = now;
     relay::Frame frame;
--- a/Source/relay/peer_client.h
+++ b/Source/relay/peer_client.h
@@ -30,6 +30,8 @@
     std::function<void(const PeerLoad&, TimePoint now)> on_load;
     // A frame that is not about calls.
     std::function<void(const relay::Frame&, TimePoint now)> on_frame;
+    // The peer was not heard of while calls wait, or cannot be reached.
+    std::function<void(TimePoint now)> on_suspect;
     // The connection was lost, replaced or made; for the log.
     std::function<void(std::string_view what, TimePoint now)> on_change;
   };
@@ -83,8 +85,10 @@
   // Wait before another connection is tried after one could not be made.
   static constexpr Duration kReconnectDelay = std::chrono::milliseconds(300);
   // Silence after which the peer is asked for a sign of life while calls wait,
-  // and after which the connection is replaced.
-  static constexpr Duration kProbeAfter = std::chrono::milliseconds(400);
+  // after which it gets no further calls, and after which the connection is
+  // replaced.
+  static constexpr Duration kProbeAfter = std::chrono::milliseconds(300);
+  static constexpr Duration kSuspectAfter = std::chrono::milliseconds(600);
   static constexpr Duration kSilenceLimit = std::chrono::milliseconds(1200);
   // Receipts are sent together.
   static constexpr size_t kReceiptsAtOnce = 16;
--- a/Source/relay/placement.cc
+++ b/Source/relay/placement.cc
@@ -80,6 +80,13 @@
                                  TimePoint now, Generator* random) const {
   const auto found = m_services.find(service);
   if (found == m_services.end()) return nullptr;
+  // Servers that all serve badly are alike: only what is worse than the mean
+  // counts.
+  double usual_quality = 0;
+  for (const Candidate& candidate : found->second) {
+    usual_quality += candidate.quality->Cost(now) /
+                     static_cast<double>(found->second.size());
+  }
   const Candidate* best = nullptr;
   bool best_is_ejected = true;
   double best_cost = 0;
@@ -95,7 +102,9 @@
     }
     const bool is_ejected = state.IsEjected(now);
     const double cost = LoadCost(state.Load(candidate.slots, now)) +
-                        candidate.distance + candidate.quality->Cost(now) +
+                        candidate.distance +
+                        std::max(0.0, candidate.quality->Cost(now) -
+                                          usual_quality) +
                         kJitter * draw(*random);
     const bool is_better =
         best == nullptr || (best_is_ejected && !is_ejected) ||
--- a/Source/relay/relay.cc
+++ b/Source/relay/relay.cc
@@ -155,6 +155,11 @@
       candidate->state->OnReport(load, now);
     }
   };
+  events.on_suspect = [this, node](TimePoint now) {
+    for (const Candidate* candidate : m_placement.AtNode(node)) {
+      candidate->state->OnSuspected(now);
+    }
+  };
   events.on_frame = [](const relay::Frame&, TimePoint) {};
   events.on_change = [this, node](std::string_view what, TimePoint now) {
     m_log->Write(LogTopic::kBelief, "peer",
--- a/Source/routing/peer_state.cc
+++ b/Source/routing/peer_state.cc
@@ -47,6 +47,11 @@
   m_ejected_until = now + kFirstEjection * (1U << doublings);
 }
 
+void PeerState::OnSuspected(TimePoint now) {
+  m_failures = std::max(m_failures.load(), kFailuresBeforeEjection);
+  m_ejected_until = std::max(m_ejected_until.load(), now + kFirstEjection);
+}
+
 double PeerState::Load(uint32_t declared_slots, TimePoint now) const {
   const uint32_t limit = m_limit;
   const double slots = std::max(1U, limit != 0 ? limit : declared_slots);
--- a/Source/routing/peer_state.h
+++ b/Source/routing/peer_state.h
@@ -40,6 +40,8 @@
   void OnReport(const PeerLoad& load, TimePoint now);
   // The attempt ended without an answer from the peer.
   void OnFailure(PeerFailure failure, TimePoint now);
+  // The peer gives no sign of life: left out for a while.
+  void OnSuspected(TimePoint now);
   // The attempt ended for a reason that says nothing of the peer.
   void OnAbandoned() { --m_outstanding; }
 
