Relay: Let nodes tell each other the platform's values

Ruled out: waiting for the store, which may be away for long; seeds, which may be down themselves. Change: a node that cannot read the platform asks nodes it is connected with, in both directions; values travel as they were read and are decoded by the adapter alone.

--- /dev/null
+++ b/Source/relay/fleet_news.h
@@ -0,0 +1,33 @@
+#ifndef VANILLATILLER_SOURCE_RELAY_FLEET_NEWS_H_
+#define VANILLATILLER_SOURCE_RELAY_FLEET_NEWS_H_
+
+#include "base/base.h"
+#include "relay/relay.pb.h"
+
+namespace vanillatiller {
+
+// What this node knows of the platform's values, as nodes tell it each other.
+// A node that cannot read the platform, or has just started, takes it from
+// others, so that it goes on with what the fleet knows.
+class FleetNews {
+ public:
+  virtual ~FleetNews() = default;
+
+  // The platform cannot be read at present.
+  virtual bool IsBlind() const = 0;
+  virtual relay::View View() const = 0;
+  virtual relay::Snapshot MakeSnapshot() const = 0;
+  virtual void ApplySnapshot(const relay::Snapshot& snapshot,
+                             TimePoint now) = 0;
+
+  // `view` holds something newer than what this node knows.
+  bool IsBehind(const relay::View& view) const {
+    const relay::View own = View();
+    return view.directory_revision() > own.directory_revision() ||
+           view.config_version() > own.config_version();
+  }
+};
+
+}  // namespace vanillatiller
+
+#endif  // VANILLATILLER_SOURCE_RELAY_FLEET_NEWS_H_
--- a/Source/relay/peer_client.cc
+++ b/Source/relay/peer_client.cc
@@ -5,11 +5,9 @@
 
 namespace vanillatiller {
 
-PeerClient::PeerClient(EventLoop* loop, SocketAddress address,
-                       relay::Hello hello, Events events)
+PeerClient::PeerClient(EventLoop* loop, SocketAddress address, Events events)
     : m_loop(loop),
       m_address(std::move(address)),
-      m_hello(std::move(hello)),
       m_events(std::move(events)) {}
 
 PeerClient::~PeerClient() { Disconnect(); }
@@ -63,7 +61,7 @@
   m_heard = m_probed = now;
   ++m_connection_number;
   relay::Frame frame;
-  *frame.mutable_hello() = m_hello;
+  *frame.mutable_hello() = m_events.make_hello();
   for (const auto& [id, waiting] : m_waiting) {
     if (waiting.connection != 0) frame.mutable_hello()->add_waiting_calls(id);
   }
@@ -101,6 +99,7 @@
   switch (frame.content_case()) {
     case relay::Frame::kHello:
       HandleHello(frame.hello(), now);
+      m_events.on_frame(frame, now);
       break;
     case relay::Frame::kAnswer:
       HandleAnswer(frame.answer(), now);
--- a/Source/relay/peer_client.h
+++ b/Source/relay/peer_client.h
@@ -26,9 +26,11 @@
   using Done = std::function<void(CallResult, TimePoint now)>;
 
   struct Events {
+    // What to say first on a new connection.
+    std::function<relay::Hello()> make_hello;
     // The peer told its load.
     std::function<void(const PeerLoad&, TimePoint now)> on_load;
-    // A frame that is not about calls.
+    // A frame that is not about calls, or the peer's Hello.
     std::function<void(const relay::Frame&, TimePoint now)> on_frame;
     // The peer was not heard of while calls wait, or cannot be reached.
     std::function<void(TimePoint now)> on_suspect;
@@ -36,8 +38,7 @@
     std::function<void(std::string_view what, TimePoint now)> on_change;
   };
 
-  PeerClient(EventLoop* loop, SocketAddress address, relay::Hello hello,
-             Events events);
+  PeerClient(EventLoop* loop, SocketAddress address, Events events);
   ~PeerClient() override;
   PeerClient(const PeerClient&) = delete;
   PeerClient& operator=(const PeerClient&) = delete;
@@ -51,7 +52,7 @@
   void SendFrame(const relay::Frame& frame);
   void Tick(TimePoint now);
 
-  bool IsIdle() const { return m_waiting.empty(); }
+  bool IsUp() const { return m_is_up; }
 
  private:
   struct Waiting {
@@ -95,7 +96,6 @@
 
   EventLoop* m_loop;
   const SocketAddress m_address;
-  relay::Hello m_hello;
   Events m_events;
   std::shared_ptr<TcpConnection> m_connection;
   FrameReader m_reader;
--- a/Source/relay/peer_server.cc
+++ b/Source/relay/peer_server.cc
@@ -59,9 +59,7 @@
   FrameReader m_reader;
 };
 
-PeerServer::PeerServer(EventLoop* loop, uint64_t incarnation,
-                       PeerCallHandler* handler)
-    : m_loop(loop), m_incarnation(incarnation), m_handler(handler) {}
+PeerServer::PeerServer(PeerCallHandler* handler) : m_handler(handler) {}
 
 PeerServer::~PeerServer() = default;
 
@@ -70,16 +68,11 @@
   m_sessions[session.get()] = session;
 }
 
-relay::Frame PeerServer::HelloFrame() const {
-  relay::Frame frame;
-  frame.mutable_hello()->set_incarnation(m_incarnation);
-  return frame;
-}
-
 void PeerServer::OnFrame(const std::shared_ptr<Session>& session,
                          const relay::Frame& frame, TimePoint now) {
   if (frame.has_hello()) {
     OnHello(session, frame.hello(), now);
+    PassOn(session, frame, now);
     return;
   }
   const auto found = m_callers.find(session->incarnation);
@@ -113,16 +106,21 @@
       }
       break;
     default:
-      m_handler->OnPeerFrame(
-          frame,
-          [session](const relay::Frame& reply) {
-            session->Send(EncodeFrame(reply));
-          },
-          now);
+      PassOn(session, frame, now);
       break;
   }
 }
 
+void PeerServer::PassOn(const std::shared_ptr<Session>& session,
+                        const relay::Frame& frame, TimePoint now) {
+  m_handler->OnPeerFrame(
+      frame,
+      [session](const relay::Frame& reply) {
+        session->Send(EncodeFrame(reply));
+      },
+      now);
+}
+
 void PeerServer::OnHello(const std::shared_ptr<Session>& session,
                          const relay::Hello& hello, TimePoint now) {
   Caller& caller = m_callers[hello.incarnation()];
@@ -132,7 +130,9 @@
   caller.session = session;
   caller.was_cancelled = false;
   session->incarnation = hello.incarnation();
-  session->Send(EncodeFrame(HelloFrame()));
+  relay::Frame reply;
+  *reply.mutable_hello() = m_handler->MakeHello();
+  session->Send(EncodeFrame(reply));
   Settle(&caller, hello.incarnation(), hello, now);
 }
 
--- a/Source/relay/peer_server.h
+++ b/Source/relay/peer_server.h
@@ -30,7 +30,9 @@
                           TimePoint now) = 0;
   virtual void OnPeerCancel(const PeerCallKey& key, TimePoint now) = 0;
   virtual PeerLoad Load() const = 0;
-  // A frame that is not about calls; `reply` takes frames for its sender.
+  // What to say first on a new connection.
+  virtual relay::Hello MakeHello() const = 0;
+  // A frame that is not about calls, or a caller's Hello; `reply` takes frames for its sender.
   virtual void OnPeerFrame(
       const relay::Frame& frame,
       const std::function<void(const relay::Frame&)>& reply,
@@ -42,7 +44,7 @@
 // PeerClient.
 class PeerServer {
  public:
-  PeerServer(EventLoop* loop, uint64_t incarnation, PeerCallHandler* handler);
+  explicit PeerServer(PeerCallHandler* handler);
   ~PeerServer();
 
   void Accept(std::shared_ptr<TcpConnection> connection);
@@ -72,6 +74,8 @@
                const relay::Hello& hello, TimePoint now);
   void OnFrame(const std::shared_ptr<Session>& session,
                const relay::Frame& frame, TimePoint now);
+  void PassOn(const std::shared_ptr<Session>& session,
+              const relay::Frame& frame, TimePoint now);
   void OnSessionEnd(const std::shared_ptr<Session>& session, TimePoint now);
   void DropSession(const std::shared_ptr<Session>& session);
   void Settle(Caller* caller, uint64_t incarnation, const relay::Hello& hello,
@@ -79,7 +83,6 @@
   void CancelCalls(uint64_t incarnation, Caller* caller,
                    const std::function<bool(uint64_t)>& selects, TimePoint now);
   void Keep(Caller* caller, uint64_t id, std::string frame);
-  relay::Frame HelloFrame() const;
 
   // Time after which a caller without a connection is taken for gone.
   static constexpr Duration kCallerLinger = std::chrono::seconds(2);
@@ -90,8 +93,6 @@
   // an older one is forgotten, and its call's fate is then unknown.
   static constexpr size_t kMaxKeptAnswers = 64;
 
-  EventLoop* m_loop;
-  const uint64_t m_incarnation;
   PeerCallHandler* m_handler;
   std::map<uint64_t, Caller> m_callers;
   std::map<Session*, std::shared_ptr<Session>> m_sessions;
--- a/Source/relay/relay.cc
+++ b/Source/relay/relay.cc
@@ -38,7 +38,7 @@
       m_placement(settings.locality),
       m_executor(loop, settings.server, &m_settings.names, log, &m_metrics,
                  now),
-      m_peer_server(loop, settings.incarnation, this),
+      m_peer_server(this),
       m_origin(loop, &m_settings.names, settings.service, &m_placement, this,
                &m_executor, settings.retry_budget, log, &m_metrics, settings.incarnation),
       m_health(std::make_unique<HealthFront>(this)) {}
@@ -146,10 +146,8 @@
 PeerClient& Relay::ClientFor(const SocketAddress& node) {
   std::unique_ptr<PeerClient>& client = m_clients[node];
   if (client) return *client;
-  relay::Hello hello;
-  hello.set_incarnation(m_settings.incarnation);
-  hello.set_address(m_settings.peer_listener.ToString());
   PeerClient::Events events;
+  events.make_hello = [this] { return MakeHello(); };
   events.on_load = [this, node](const PeerLoad& load, TimePoint now) {
     for (const Candidate* candidate : m_placement.AtNode(node)) {
       candidate->state->OnReport(load, now);
@@ -160,14 +158,20 @@
       candidate->state->OnSuspected(now);
     }
   };
-  events.on_frame = [](const relay::Frame&, TimePoint) {};
+  events.on_frame = [this, node](const relay::Frame& frame, TimePoint now) {
+    OnNews(
+        frame,
+        [this, node](const relay::Frame& reply) {
+          ClientFor(node).SendFrame(reply);
+        },
+        now);
+  };
   events.on_change = [this, node](std::string_view what, TimePoint now) {
     m_log->Write(LogTopic::kBelief, "peer",
                  {{"node", node.ToString()}, {"change", std::string(what)}},
                  now);
   };
-  client =
-      std::make_unique<PeerClient>(m_loop, node, hello, std::move(events));
+  client = std::make_unique<PeerClient>(m_loop, node, std::move(events));
   return *client;
 }
 
@@ -225,9 +229,71 @@
   m_peer_server.Forget(key);
 }
 
-void Relay::OnPeerFrame(const relay::Frame&,
-                        const std::function<void(const relay::Frame&)>&,
-                        TimePoint) {}
+void Relay::OnPeerFrame(const relay::Frame& frame,
+                        const std::function<void(const relay::Frame&)>& reply,
+                        TimePoint now) {
+  OnNews(frame, reply, now);
+}
+
+relay::Hello Relay::MakeHello() const {
+  relay::Hello hello;
+  hello.set_incarnation(m_settings.incarnation);
+  if (m_news != nullptr) *hello.mutable_view() = m_news->View();
+  return hello;
+}
+
+relay::Frame Relay::NewsRequest() const {
+  relay::Frame frame;
+  *frame.mutable_snapshot_request()->mutable_view() = m_news->View();
+  return frame;
+}
+
+void Relay::OnNews(const relay::Frame& frame,
+                   const std::function<void(const relay::Frame&)>& reply,
+                   TimePoint now) {
+  if (m_news == nullptr) return;
+  if (frame.has_hello()) {
+    if (m_news->IsBlind() && m_news->IsBehind(frame.hello().view())) {
+      reply(NewsRequest());
+    }
+    return;
+  }
+  if (frame.has_snapshot_request()) {
+    const relay::View own = m_news->View();
+    const relay::View& theirs = frame.snapshot_request().view();
+    if (own.directory_revision() <= theirs.directory_revision() &&
+        own.config_version() <= theirs.config_version()) {
+      return;
+    }
+    relay::Frame answer;
+    *answer.mutable_snapshot() = m_news->MakeSnapshot();
+    reply(answer);
+    return;
+  }
+  if (!frame.has_snapshot()) return;
+  const relay::Snapshot& snapshot = frame.snapshot();
+  m_log->Write(
+      LogTopic::kBelief, "news-from-peer",
+      {{"revision", std::to_string(snapshot.directory_revision())},
+       {"before", std::to_string(m_news->View().directory_revision())},
+       {"servers", std::to_string(snapshot.servers_size())}},
+      now);
+  m_news->ApplySnapshot(snapshot, now);
+}
+
+void Relay::AskForNews(TimePoint now) {
+  if (m_news == nullptr || !m_news->IsBlind() || now < m_next_news) return;
+  m_next_news = now + kNewsPeriod;
+  // Each time the next peer that is connected.
+  auto next = m_clients.upper_bound(m_news_peer);
+  for (size_t i = 0; i < m_clients.size(); ++i, ++next) {
+    if (next == m_clients.end()) next = m_clients.begin();
+    if (!next->second->IsUp()) continue;
+    m_news_peer = next->first;
+    next->second->SendFrame(NewsRequest());
+    return;
+  }
+}
 
 void Relay::TickOften(TimePoint now) {
   m_executor.Tick(now);
@@ -243,6 +309,7 @@
 void Relay::TickSeldom(TimePoint now) {
   for (const auto& [node, client] : m_clients) client->Tick(now);
   m_peer_server.Tick(now);
+  AskForNews(now);
   std::erase_if(m_caller_sessions,
                 [](const auto& session) { return session.expired(); });
   const PeerLoad load = m_executor.Load();
--- a/Source/relay/relay.h
+++ b/Source/relay/relay.h
@@ -14,6 +14,7 @@
 #include "eventio/eventio.h"
 #include "relay/call_executor.h"     // IWYU pragma: export
 #include "relay/event_log.h"         // IWYU pragma: export
+#include "relay/fleet_news.h"        // IWYU pragma: export
 #include "relay/peer_client.h"       // IWYU pragma: export
 #include "relay/peer_server.h"       // IWYU pragma: export
 #include "relay/placement.h"         // IWYU pragma: export
@@ -65,6 +66,10 @@
                     TimePoint now);
   void OnPlatformRestored(TimePoint now);
 
+  // Must be called before Start(). `news` must outlive the relay's work.
+  void SetNews(FleetNews* news) { m_news = news; }
+
+  uint64_t config_version() const { return m_origin.config_version(); }
   RelayMetrics* metrics() { return &m_metrics; }
 
  private:
@@ -79,10 +84,18 @@
                   TimePoint now) override;
   void OnPeerCancel(const PeerCallKey& key, TimePoint now) override;
   PeerLoad Load() const override { return m_executor.Load(); }
+  relay::Hello MakeHello() const override;
   void OnPeerFrame(const relay::Frame& frame,
                    const std::function<void(const relay::Frame&)>& reply,
                    TimePoint now) override;
 
+  // Frames that carry news of the fleet.
+  void OnNews(const relay::Frame& frame,
+              const std::function<void(const relay::Frame&)>& reply,
+              TimePoint now);
+  // Asks one peer for news if the platform cannot be read.
+  void AskForNews(TimePoint now);
+  relay::Frame NewsRequest() const;
   PeerClient& ClientFor(const SocketAddress& node);
   void OnServersChanged(TimePoint now);
   void TickOften(TimePoint now);
@@ -95,6 +108,8 @@
   static constexpr Duration kShortTick = std::chrono::milliseconds(20);
   // Period of all else that needs time.
   static constexpr Duration kLongTick = std::chrono::milliseconds(200);
+  // Period of questions for news while the platform cannot be read.
+  static constexpr Duration kNewsPeriod = std::chrono::milliseconds(600);
   // After Stop(), time during which callers that do not know it yet are served
   // like before: two status checks, a second apart, and their delays.
   static constexpr Duration kStopNotice = std::chrono::milliseconds(2500);
@@ -117,6 +132,10 @@
   std::map<uint64_t, CallExecutor::Handle> m_own_calls;
   std::vector<std::weak_ptr<HttpServerSession>> m_caller_sessions;
   HttpServerLimits m_caller_limits;
+  FleetNews* m_news = nullptr;
+  TimePoint m_next_news;
+  // Peer that was asked last.
+  SocketAddress m_news_peer;
   bool m_has_servers = false;
   // Start and identity of the server beside this node, as last seen.
   std::string m_server_id;
--- a/Tests/platform_test.cc
+++ b/Tests/platform_test.cc
@@ -285,5 +285,29 @@
   BOOST_TEST(RunUntil(&pair.loop, [&] { return HasWatched(10); }));
 }
 
+// Another node has read a store that was just restored, in which the records of
+// living servers had lapsed: they still count until they can be renewed.
+BOOST_FIXTURE_TEST_CASE(NewsOfARestoredStoreRemoveNothingAtOnce, StoreFixture) {
+  const TimePoint start = BootClock::now();
+  relay::Snapshot full;
+  full.set_directory_revision(50);
+  relay::Item* server = full.add_servers();
+  server->set_key("servers/server-1");
+  std::string value = ServerValue("ready", "");
+  const std::string address = "127.0.0.2:" + std::to_string(pair.server_port);
+  value.replace(value.find("10.0.0.9:8080"), 13, address);
+  server->set_value(value);
+  server->set_revision(40);
+  client.ApplySnapshot(full, start);
+  BOOST_TEST(client.View().directory_revision() == 50U);
+  BOOST_TEST(client.MakeSnapshot().servers_size() == 1);
+  relay::Snapshot lapsed;
+  lapsed.set_directory_revision(60);
+  client.ApplySnapshot(lapsed, start);
+  const auto call = pair.Send("/ok", "r1");
+  BOOST_TEST_REQUIRE(RunUntil(&pair.loop, [&] { return call->is_over; }));
+  BOOST_TEST(call->result.response.status == 200);
+}
+
 }  // namespace
 }  // namespace vanillatiller::platform
--- a/Tests/relay_test.cc
+++ b/Tests/relay_test.cc
@@ -181,5 +181,74 @@
   BOOST_TEST(RunUntil(&pair.loop, [&] { return is_stopped; }));
 }
 
+// News without a platform behind it.
+class FakeNews : public FleetNews {
+ public:
+  FakeNews(bool is_blind, uint64_t revision)
+      : m_is_blind(is_blind), m_revision(revision) {}
+
+  bool IsBlind() const override { return m_is_blind; }
+  relay::View View() const override {
+    relay::View view;
+    view.set_directory_revision(m_revision);
+    return view;
+  }
+  relay::Snapshot MakeSnapshot() const override {
+    relay::Snapshot snapshot;
+    snapshot.set_directory_revision(m_revision);
+    return snapshot;
+  }
+  void ApplySnapshot(const relay::Snapshot& snapshot, TimePoint) override {
+    m_revision = snapshot.directory_revision();
+  }
+
+ private:
+  const bool m_is_blind;
+  uint64_t m_revision;
+};
+
+// A node that cannot read the platform learns what others know, whichever side
+// made the connection; one that can does not ask.
+BOOST_AUTO_TEST_CASE(BlindNodesTakeNewsFromOthers) {
+  struct Case {
+    const char* what;
+    bool front_blind;
+    bool back_blind;
+    uint64_t expected_front;
+    uint64_t expected_back;
+  };
+  const std::vector<Case> cases = {
+      {"the called node is blind", false, true, 20, 20},
+      {"the called node reads for itself", false, false, 20, 5},
+      {"both are blind", true, true, 20, 20},
+  };
+  for (const Case& item : cases) {
+    BOOST_TEST_CONTEXT(item.what) {
+      RelayPair pair;
+      FakeNews front(item.front_blind, 20);
+      FakeNews back(item.back_blind, 5);
+      pair.front->SetNews(&front);
+      pair.back->SetNews(&back);
+      const auto call = pair.Send("/ok", "r1");
+      BOOST_TEST_REQUIRE(RunUntil(&pair.loop, [&] { return call->is_over; }));
+      RunFor(&pair.loop, milliseconds(100));
+      BOOST_TEST(front.View().directory_revision() == item.expected_front);
+      BOOST_TEST(back.View().directory_revision() == item.expected_back);
+    }
+  }
+  BOOST_TEST_CONTEXT("the calling node is blind") {
+    RelayPair pair;
+    FakeNews front(true, 5);
+    FakeNews back(false, 20);
+    pair.front->SetNews(&front);
+    pair.back->SetNews(&back);
+    const auto call = pair.Send("/ok", "r1");
+    BOOST_TEST_REQUIRE(RunUntil(&pair.loop, [&] { return call->is_over; }));
+    BOOST_TEST(RunUntil(&pair.loop, [&] {
+      return front.View().directory_revision() == 20;
+    }));
+  }
+}
+
 }  // namespace
 }  // namespace vanillatiller
