Relay: Let requests that are under way go first at the next service

Load pattern: dispute-cell is short of room and a request calls it four times in turn; requests were refused at their third call, and the work of the first two was lost. A call whose request has had answers goes before those of its rank that have not begun.

--- a/Source/relay/call_executor.cc
+++ b/Source/relay/call_executor.cc
@@ -50,7 +50,8 @@
   }
   Work work;
   work.id = handle;
-  work.shed_hash = call.shed_hash();
+  // Requests that are under way go first; what was done for them is not lost.
+  work.shed_hash = call.is_continuation() ? 0 : call.shed_hash();
   work.rank = call.rank();
   work.is_nested = call.is_nested();
   work.deadline = local.deadline;
@@ -199,15 +200,29 @@
   return true;
 }
 
-std::optional<CallExecutor::ActiveCall> CallExecutor::FindParent(
+std::optional<CallExecutor::Handle> CallExecutor::ParentOf(
     std::string_view request_id) const {
   const size_t dot = request_id.rfind('.');
   if (dot == std::string_view::npos) return std::nullopt;
   const auto active = m_active.find(request_id.substr(0, dot));
   if (active == m_active.end()) return std::nullopt;
-  const LocalCall& parent = m_calls.at(active->second);
+  return active->second;
+}
+
+std::optional<CallExecutor::ActiveCall> CallExecutor::FindParent(
+    std::string_view request_id) const {
+  const auto handle = ParentOf(request_id);
+  if (!handle) return std::nullopt;
+  const LocalCall& parent = m_calls.at(*handle);
   return ActiveCall{parent.call.rank(), parent.call.shed_hash(),
-                    parent.deadline};
+                    parent.deadline,
+                    parent.is_under_way || parent.call.is_continuation()};
+}
+
+void CallExecutor::OnNestedAnswered(std::string_view request_id) {
+  if (const auto handle = ParentOf(request_id)) {
+    m_calls.at(*handle).is_under_way = true;
+  }
 }
 
 void CallExecutor::Leave(TimePoint now) {
--- a/Source/relay/call_executor.h
+++ b/Source/relay/call_executor.h
@@ -29,6 +29,8 @@
     uint32_t rank = 0;
     uint32_t shed_hash = 0;
     TimePoint deadline;
+    // Calls that the server made for it were answered.
+    bool is_under_way = false;
   };
 
   using Done = std::function<void(CallResult, TimePoint now)>;
@@ -55,6 +57,8 @@
   // a request that they make after the one that they work on, with a dot and
   // more behind. Nullopt if no call that runs here has such a name.
   std::optional<ActiveCall> FindParent(std::string_view request_id) const;
+  // A request that the server made for such a call was answered.
+  void OnNestedAnswered(std::string_view request_id);
 
   PeerLoad Load() const;
   bool IsIdle() const { return m_calls.empty(); }
@@ -71,8 +75,11 @@
     std::shared_ptr<HttpClientSession> session;
     TimerId timer = 0;
     bool is_cancelled = false;
+    bool is_under_way = false;
   };
 
+  // The running call that `request_id` was made for.
+  std::optional<Handle> ParentOf(std::string_view request_id) const;
   void CarryOut(AdmissionActions* actions, TimePoint now);
   void Run(Handle handle, TimePoint now);
   void OnExchange(Handle handle, ExchangeResult exchange, TimePoint now);
--- a/Source/relay/request_origin.cc
+++ b/Source/relay/request_origin.cc
@@ -40,6 +40,7 @@
   uint32_t rank = 0;
   uint32_t shed_hash = 0;
   bool is_nested = false;
+  bool is_continuation = false;
   TimerId timer = 0;
   // Servers that it was sent to or that turned it away.
   std::vector<std::string> tried;
@@ -62,7 +63,7 @@
                              std::string own_service,
                              const Placement* placement,
                              CallTransport* transport,
-                             const CallExecutor* executor,
+                             CallExecutor* executor,
                              const SharedRetryBudget& budget, EventLog* log,
                              RelayMetrics* metrics, uint64_t seed)
     : m_loop(loop),
@@ -108,6 +109,7 @@
     request->rank = parent->rank;
     request->shed_hash = parent->shed_hash;
     request->is_nested = true;
+    request->is_continuation = parent->is_under_way;
   }
   http.headers.RemoveConnectionFields();
   http.headers.Remove("expect");
@@ -172,6 +174,7 @@
   call.set_rank(request.rank);
   call.set_shed_hash(request.shed_hash);
   call.set_is_nested(request.is_nested);
+  call.set_is_continuation(request.is_continuation);
   call.set_route(route.name);
   return call;
 }
@@ -187,6 +190,7 @@
         OnFailed(request, std::move(result), now);
         return;
       }
+      if (request->is_nested) m_executor->OnNestedAnswered(request->id);
       Answer(request, result.response, "answered", RefusalCode::kNone, now);
       return;
     case Outcome::kNotRun:
--- a/Source/relay/request_origin.h
+++ b/Source/relay/request_origin.h
@@ -47,7 +47,7 @@
  public:
   RequestOrigin(EventLoop* loop, const ProtocolNames* names,
                 std::string own_service, const Placement* placement,
-                CallTransport* transport, const CallExecutor* executor,
+                CallTransport* transport, CallExecutor* executor,
                 const SharedRetryBudget& budget,
                 EventLog* log, RelayMetrics* metrics, uint64_t seed);
   ~RequestOrigin() override;
@@ -105,7 +105,7 @@
   const Placement* m_placement;
   CallTransport* m_transport;
   // Knows the calls for which the server beside this node makes others.
-  const CallExecutor* m_executor;
+  CallExecutor* m_executor;
   const SharedRetryBudget m_budget;
   EventLog* m_log;
   RelayMetrics* m_metrics;
