Admission: Use free slots for calls that may still end in time

Cause: after an overload calls were refused with their server idle (in_flight 8 of 72, nothing queued), as the mean time of their route exceeded what they had left.

--- a/Source/admission/admission.cc
+++ b/Source/admission/admission.cc
@@ -17,6 +17,9 @@
 // did not run.
 constexpr Duration kPause = std::chrono::milliseconds(500);
 constexpr uint32_t kMinQueueBound = 16;
+// Part of the usual time below which a call that could start at once is not
+// expected to end in time.
+constexpr double kHopelessPart = 0.5;
 constexpr uint32_t kUnlimited = UINT32_MAX;
 constexpr uint32_t kMaxSlots = 1'000'000;
 
@@ -212,6 +215,12 @@
   const uint32_t ahead =
       queue.CountAhead(queued.order_class, queued.flow, queued.position);
   const Duration wait = hold * (ahead / Limit());
+  if (queue.empty() && HasSlot()) {
+    // The usual time is a mean: many calls take less, and no other call wants
+    // the slot.
+    return now + std::chrono::duration_cast<Duration>(hold * kHopelessPart) <=
+           work.deadline;
+  }
   return now + wait + hold <= work.deadline;
 }
 
--- a/Source/eventio/event_loop.h
+++ b/Source/eventio/event_loop.h
@@ -39,7 +39,9 @@
 
   uv_loop_t* raw() { return &m_loop; }
   // Shared by all reads, whose data is consumed before the next read.
-  uv_buf_t ReadBuffer() { return uv_buf_init(m_buffer.data(), m_buffer.size()); }
+  uv_buf_t ReadBuffer() {
+    return uv_buf_init(m_buffer.data(), m_buffer.size());
+  }
 
  private:
   using Key = std::pair<TimePoint, TimerId>;
--- a/Source/eventio/http_client_session.cc
+++ b/Source/eventio/http_client_session.cc
@@ -37,9 +37,8 @@
                              TimePoint now) {
   m_done = std::move(done);
   m_reader.ExpectNoBody(request.method == "HEAD");
-  m_request_id = m_id_header.empty()
-                     ? ""
-                     : request.headers.Find(m_id_header).value_or("");
+  m_request_id =
+      m_id_header.empty() ? "" : request.headers.Find(m_id_header).value_or("");
   std::string text = FormatRequest(request);
   if (m_connection && m_connection->IsOpen()) {
     m_reusable = false;
@@ -94,8 +93,8 @@
     // The late second answer to an earlier request.
     return;
   }
-  m_reusable = message.keep_alive && !more_data &&
-               m_connection->UnsentBytes() == 0;
+  m_reusable =
+      message.keep_alive && !more_data && m_connection->UnsentBytes() == 0;
   NoteKeepAlive(message, now);
   if (!m_reusable) Close();
   Finish({ExchangeEnd::kAnswered,
--- a/Source/eventio/http_message.cc
+++ b/Source/eventio/http_message.cc
@@ -13,9 +13,15 @@
 namespace {
 
 constexpr std::array<std::string_view, 10> kConnectionFields = {
-    "connection",       "keep-alive", "proxy-connection",
-    "proxy-authorization", "proxy-authenticate", "te",
-    "trailer",          "transfer-encoding", "upgrade",
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "proxy-authorization",
+    "proxy-authenticate",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
     "content-length"};
 
 bool EqualNames(std::string_view a, std::string_view b) {
--- a/Source/eventio/http_reader.cc
+++ b/Source/eventio/http_reader.cc
@@ -49,8 +49,8 @@
 }
 
 HttpReader::Result HttpReader::Read(std::string_view* data) {
-  const size_t read = http_parser_execute(&m_parser, &Callbacks(), data->data(),
-                                          data->size());
+  const size_t read =
+      http_parser_execute(&m_parser, &Callbacks(), data->data(), data->size());
   if (m_complete) {
     http_parser_pause(&m_parser, 0);
     m_complete = false;
--- a/Source/eventio/http_server_session.cc
+++ b/Source/eventio/http_server_session.cc
@@ -10,8 +10,8 @@
     EventLoop* loop, std::shared_ptr<TcpConnection> connection,
     HttpRequestHandler* handler, const HttpServerLimits& limits,
     TimePoint now) {
-  std::shared_ptr<HttpServerSession> session(new HttpServerSession(
-      loop, std::move(connection), handler, limits));
+  std::shared_ptr<HttpServerSession> session(
+      new HttpServerSession(loop, std::move(connection), handler, limits));
   session->m_self = session;
   session->m_connection->SetHandler(session.get());
   session->WatchIdle(now);
@@ -82,7 +82,8 @@
 }
 
 void HttpServerSession::RejectUnreadable(int status) {
-  m_connection->Write(FormatResponse(HttpResponse{status, {}, {}}, false, true));
+  m_connection->Write(
+      FormatResponse(HttpResponse{status, {}, {}}, false, true));
   m_connection->CloseWhenSent();
   Drop();
 }
@@ -102,7 +103,8 @@
   m_connection->ResumeReading();
   // Not from within the handler of the request that was just answered.
   if (!m_pending.empty()) {
-    m_loop->Schedule(now, [self](TimePoint later) { self->ReadPending(later); });
+    m_loop->Schedule(now,
+                     [self](TimePoint later) { self->ReadPending(later); });
   }
 }
 
@@ -139,10 +141,9 @@
 
 void HttpServerSession::WatchIdle(TimePoint now) {
   m_loop->Cancel(&m_timer);
-  m_timer = m_loop->Schedule(now + m_limits.idle_timeout,
-                             [self = shared_from_this()](TimePoint) {
-                               self->CloseAfterAnswer();
-                             });
+  m_timer = m_loop->Schedule(
+      now + m_limits.idle_timeout,
+      [self = shared_from_this()](TimePoint) { self->CloseAfterAnswer(); });
 }
 
 void HttpServerSession::WatchHeaders(TimePoint now) {
--- a/Source/eventio/tcp_connection.cc
+++ b/Source/eventio/tcp_connection.cc
@@ -108,8 +108,8 @@
   uv_read_start(
       reinterpret_cast<uv_stream_t*>(&m_tcp),
       [](uv_handle_t* handle, size_t, uv_buf_t* buffer) {
-        *buffer = static_cast<TcpConnection*>(handle->data)
-                      ->m_loop->ReadBuffer();
+        *buffer =
+            static_cast<TcpConnection*>(handle->data)->m_loop->ReadBuffer();
       },
       [](uv_stream_t* stream, ssize_t count, const uv_buf_t* buffer) {
         auto* self = static_cast<TcpConnection*>(stream->data);
@@ -204,11 +204,11 @@
     Close();
     return;
   }
-  m_finish_timer =
-      m_loop->Schedule(BootClock::now() + kFinishWait,
-                       [weak = weak_from_this()](TimePoint) {
-                         if (const auto self = weak.lock()) self->Close();
-                       });
+  m_finish_timer = m_loop->Schedule(BootClock::now() + kFinishWait,
+                                    [weak = weak_from_this()](TimePoint) {
+                                      if (const auto self = weak.lock())
+                                        self->Close();
+                                    });
 }
 
 void TcpConnection::PauseReading() {
--- a/Source/relay/call_executor.cc
+++ b/Source/relay/call_executor.cc
@@ -78,8 +78,7 @@
   }
 }
 
-CallResult CallExecutor::Refusal(RefusalCode code,
-                                 const relay::Call&) const {
+CallResult CallExecutor::Refusal(RefusalCode code, const relay::Call&) const {
   CallResult result;
   result.outcome = Outcome::kNotRun;
   result.code = code;
@@ -148,20 +147,19 @@
   if (was_dispatched) m_metrics->server_time.Add(now - local.dispatched);
   m_metrics->CountCall(result.outcome);
   if (result.outcome != Outcome::kComplete) {
-    m_log->Write(
-        LogTopic::kRequest, "call-ended",
-        {{"request", local.request_id},
-         {"route", local.call.route()},
-         {"server", local.call.server_id()},
-         {"outcome", std::string(OutcomeName(result.outcome))},
-         {"reason", std::string(RefusalCodeName(result.code))},
-         {"waited_ms", std::to_string(ToMilliseconds(
-                           (was_dispatched ? local.dispatched : now) -
-                           local.received))},
-         {"in_flight", std::to_string(m_admission->State().in_flight)},
-         {"queued", std::to_string(m_admission->State().queued)},
-         {"limit", std::to_string(m_admission->State().limit)}},
-        now);
+    m_log->Write(LogTopic::kRequest, "call-ended",
+                 {{"request", local.request_id},
+                  {"route", local.call.route()},
+                  {"server", local.call.server_id()},
+                  {"outcome", std::string(OutcomeName(result.outcome))},
+                  {"reason", std::string(RefusalCodeName(result.code))},
+                  {"waited_ms", std::to_string(ToMilliseconds(
+                                    (was_dispatched ? local.dispatched : now) -
+                                    local.received))},
+                  {"in_flight", std::to_string(m_admission->State().in_flight)},
+                  {"queued", std::to_string(m_admission->State().queued)},
+                  {"limit", std::to_string(m_admission->State().limit)}},
+                 now);
   }
   if (was_dispatched) FreeSlot(handle, result, now);
   if (!local.is_cancelled) local.done(std::move(result), now);
--- a/Source/relay/call_result.h
+++ b/Source/relay/call_result.h
@@ -30,9 +30,8 @@
 relay::Load EncodeLoad(const PeerLoad& load);
 PeerLoad DecodeLoad(const relay::Load& load);
 
-void EncodeHeaders(
-    const HttpHeaders& headers,
-    google::protobuf::RepeatedPtrField<relay::Header>* encoded);
+void EncodeHeaders(const HttpHeaders& headers,
+                   google::protobuf::RepeatedPtrField<relay::Header>* encoded);
 HttpHeaders DecodeHeaders(
     const google::protobuf::RepeatedPtrField<relay::Header>& encoded);
 
--- a/Source/relay/peer_client.cc
+++ b/Source/relay/peer_client.cc
@@ -182,9 +182,9 @@
 }
 
 bool PeerClient::HasSentCalls() const {
-  return std::any_of(
-      m_waiting.begin(), m_waiting.end(),
-      [](const auto& item) { return item.second.connection != 0; });
+  return std::any_of(m_waiting.begin(), m_waiting.end(), [](const auto& item) {
+    return item.second.connection != 0;
+  });
 }
 
 void PeerClient::SendReceived() {
--- a/Source/relay/peer_server.h
+++ b/Source/relay/peer_server.h
@@ -32,11 +32,11 @@
   virtual PeerLoad Load() const = 0;
   // What to say first on a new connection.
   virtual relay::Hello MakeHello() const = 0;
-  // A frame that is not about calls, or a caller's Hello; `reply` takes frames for its sender.
+  // A frame that is not about calls, or a caller's Hello; `reply` takes frames
+  // for its sender.
   virtual void OnPeerFrame(
       const relay::Frame& frame,
-      const std::function<void(const relay::Frame&)>& reply,
-      TimePoint now) = 0;
+      const std::function<void(const relay::Frame&)>& reply, TimePoint now) = 0;
 };
 
 // Takes the calls of all other nodes and keeps each answer until its receipt
@@ -87,7 +87,8 @@
   // Time after which a caller without a connection is taken for gone.
   static constexpr Duration kCallerLinger = std::chrono::seconds(2);
   // Time after which a caller without a connection is forgotten. Longer than
-  // any call of it can wait: a forgotten caller's calls count as never received.
+  // any call of it can wait: a forgotten caller's calls count as never
+  // received.
   static constexpr Duration kCallerMemory = std::chrono::minutes(5);
   // Answers that are kept for one caller, unless they are confirmed before;
   // an older one is forgotten, and its call's fate is then unknown.
--- a/Source/relay/placement.cc
+++ b/Source/relay/placement.cc
@@ -95,20 +95,18 @@
     const PeerState& state = *candidate.state;
     const bool is_leaving =
         state.IsLeaving() && now - state.reported_at() < kLeavingLifetime;
-    if (is_leaving ||
-        std::find(excluded.begin(), excluded.end(), candidate.id) !=
-            excluded.end()) {
+    if (is_leaving || std::find(excluded.begin(), excluded.end(),
+                                candidate.id) != excluded.end()) {
       continue;
     }
     const bool is_ejected = state.IsEjected(now);
-    const double cost = LoadCost(state.Load(candidate.slots, now)) +
-                        candidate.distance +
-                        std::max(0.0, candidate.quality->Cost(now) -
-                                          usual_quality) +
-                        kJitter * draw(*random);
-    const bool is_better =
-        best == nullptr || (best_is_ejected && !is_ejected) ||
-        (best_is_ejected == is_ejected && cost < best_cost);
+    const double cost =
+        LoadCost(state.Load(candidate.slots, now)) + candidate.distance +
+        std::max(0.0, candidate.quality->Cost(now) - usual_quality) +
+        kJitter * draw(*random);
+    const bool is_better = best == nullptr ||
+                           (best_is_ejected && !is_ejected) ||
+                           (best_is_ejected == is_ejected && cost < best_cost);
     if (!is_better) continue;
     best = &candidate;
     best_is_ejected = is_ejected;
--- a/Source/relay/relay.cc
+++ b/Source/relay/relay.cc
@@ -40,7 +40,8 @@
                  now),
       m_peer_server(this),
       m_origin(loop, &m_settings.names, settings.service, &m_placement, this,
-               &m_executor, settings.retry_budget, log, &m_metrics, settings.incarnation),
+               &m_executor, settings.retry_budget, log, &m_metrics,
+               settings.incarnation),
       m_health(std::make_unique<HealthFront>(this)) {}
 
 Relay::~Relay() = default;
@@ -128,10 +129,9 @@
                 {"known", std::to_string(m_directory.size())},
                 {"revision", std::to_string(m_directory.revision())}},
                now);
-  const ServerRecord* own =
-      m_directory.FindByAddress(m_settings.server, now);
-  if (own != nullptr && (own->id != m_server_id ||
-                         own->started_ms != m_server_started_ms)) {
+  const ServerRecord* own = m_directory.FindByAddress(m_settings.server, now);
+  if (own != nullptr &&
+      (own->id != m_server_id || own->started_ms != m_server_started_ms)) {
     m_executor.OnServerChanged(own->slots, own->warmup_left > Duration::zero(),
                                now);
     m_server_id = own->id;
@@ -196,8 +196,7 @@
   if (found != m_own_calls.end()) found->second = handle;
 }
 
-void Relay::Cancel(const SocketAddress& node, uint64_t call_id,
-                   TimePoint now) {
+void Relay::Cancel(const SocketAddress& node, uint64_t call_id, TimePoint now) {
   if (node != m_settings.peer_listener) {
     ClientFor(node).Cancel(call_id);
     return;
@@ -272,12 +271,11 @@
   }
   if (!frame.has_snapshot()) return;
   const relay::Snapshot& snapshot = frame.snapshot();
-  m_log->Write(
-      LogTopic::kBelief, "news-from-peer",
-      {{"revision", std::to_string(snapshot.directory_revision())},
-       {"before", std::to_string(m_news->View().directory_revision())},
-       {"servers", std::to_string(snapshot.servers_size())}},
-      now);
+  m_log->Write(LogTopic::kBelief, "news-from-peer",
+               {{"revision", std::to_string(snapshot.directory_revision())},
+                {"before", std::to_string(m_news->View().directory_revision())},
+                {"servers", std::to_string(snapshot.servers_size())}},
+               now);
   m_news->ApplySnapshot(snapshot, now);
 }
 
@@ -302,8 +300,7 @@
     TickSeldom(now);
   }
   const Duration period = m_executor.Load().queued > 0 ? kShortTick : kLongTick;
-  m_loop->Schedule(now + period,
-                   [this](TimePoint later) { TickOften(later); });
+  m_loop->Schedule(now + period, [this](TimePoint later) { TickOften(later); });
 }
 
 void Relay::TickSeldom(TimePoint now) {
@@ -342,8 +339,8 @@
   if (!is_idle && now - m_stop_began < m_settings.stop_grace - kStopMargin) {
     return;
   }
-  m_log->Write(LogTopic::kBelief, "stopped",
-               {{"idle", is_idle ? "yes" : "no"}}, now);
+  m_log->Write(LogTopic::kBelief, "stopped", {{"idle", is_idle ? "yes" : "no"}},
+               now);
   m_log->Flush();
   m_stopped();
 }
--- a/Source/relay/relay_metrics.cc
+++ b/Source/relay/relay_metrics.cc
@@ -19,11 +19,11 @@
                    std::string* text) {
   const HistogramSnapshot& data = histogram.snapshot();
   for (const double quantile : {0.5, 0.9, 0.99}) {
-    absl::StrAppendFormat(
-        text, "vanillatiller_%s_seconds{quantile=\"%g\"} %g\n",
-        std::string(name), quantile,
-        static_cast<double>(data.QuantileUs(quantile)) /
-            kMicrosecondsPerSecond);
+    absl::StrAppendFormat(text,
+                          "vanillatiller_%s_seconds{quantile=\"%g\"} %g\n",
+                          std::string(name), quantile,
+                          static_cast<double>(data.QuantileUs(quantile)) /
+                              kMicrosecondsPerSecond);
   }
   absl::StrAppendFormat(
       text, "vanillatiller_%s_seconds_sum %g\n", std::string(name),
@@ -44,15 +44,15 @@
 std::string RelayMetrics::Format() const {
   std::string text;
   for (const auto& [status, count] : answers) {
-    AppendCounter("answers_total",
-                  absl::StrFormat("{status=\"%d\"}", status), count, &text);
+    AppendCounter("answers_total", absl::StrFormat("{status=\"%d\"}", status),
+                  count, &text);
   }
   for (size_t i = 0; i < calls.size(); ++i) {
     const auto outcome = static_cast<Outcome>(i + 1);
-    AppendCounter("calls_total",
-                  absl::StrFormat("{outcome=\"%s\"}",
-                                  std::string(OutcomeName(outcome))),
-                  calls.at(i), &text);
+    AppendCounter(
+        "calls_total",
+        absl::StrFormat("{outcome=\"%s\"}", std::string(OutcomeName(outcome))),
+        calls.at(i), &text);
   }
   AppendCounter("retries_total", "", retries, &text);
   AppendCounter("retries_denied_total", "", retries_denied, &text);
--- a/Source/relay/request_origin.cc
+++ b/Source/relay/request_origin.cc
@@ -62,8 +62,7 @@
 RequestOrigin::RequestOrigin(EventLoop* loop, const ProtocolNames* names,
                              std::string own_service,
                              const Placement* placement,
-                             CallTransport* transport,
-                             CallExecutor* executor,
+                             CallTransport* transport, CallExecutor* executor,
                              const SharedRetryBudget& budget, EventLog* log,
                              RelayMetrics* metrics, uint64_t seed)
     : m_loop(loop),
@@ -79,9 +78,8 @@
 
 RequestOrigin::~RequestOrigin() = default;
 
-void RequestOrigin::OnRequest(
-    const std::shared_ptr<HttpServerSession>& session, HttpRequest http,
-    TimePoint now) {
+void RequestOrigin::OnRequest(const std::shared_ptr<HttpServerSession>& session,
+                              HttpRequest http, TimePoint now) {
   std::shared_ptr<ActiveRoute> route;
   if (m_routes) {
     route = m_routes->Find(http.headers.Find("host").value_or(""), http.target);
@@ -101,8 +99,7 @@
   const bool has_left = left && absl::SimpleAtoi(std::string(*left), &left_ms);
   request->deadline = now + (has_left ? std::chrono::milliseconds(left_ms)
                                       : route->route().timeout);
-  request->give_up =
-      std::min(request->deadline, now + route->route().timeout);
+  request->give_up = std::min(request->deadline, now + route->route().timeout);
   request->rank = route->route().rank;
   request->shed_hash = static_cast<uint32_t>(HashBytes(request->id));
   if (const auto parent = m_executor->FindParent(request->id)) {
@@ -131,11 +128,11 @@
 }
 
 void RequestOrigin::Place(const RequestPtr& request, TimePoint now) {
-  const Candidate* server = m_placement->Pick(request->service, request->tried,
-                                              now, &m_random);
+  const Candidate* server =
+      m_placement->Pick(request->service, request->tried, now, &m_random);
   if (server == nullptr || request->tried.size() >= kMaxPlacements) {
-    const RefusalCode code = request->tried.empty() ? RefusalCode::kNoPeer
-                                                    : RefusalCode::kOverload;
+    const RefusalCode code =
+        request->tried.empty() ? RefusalCode::kNoPeer : RefusalCode::kOverload;
     GiveUp(request, code, now);
     return;
   }
@@ -217,15 +214,14 @@
   const bool was_served = result.outcome == Outcome::kComplete &&
                           result.response.status < kFirstServerError;
   if (was_served) {
-    const double relative_time = m_usual_times.Relate(
-        request.route->route().name, now - request.placed);
+    const double relative_time =
+        m_usual_times.Relate(request.route->route().name, now - request.placed);
     request.quality->OnSuccess(relative_time, now);
     return;
   }
   // Refusals by the node beside the server show its load, not its quality.
-  const bool is_servers_failure =
-      result.outcome != Outcome::kNotRun ||
-      result.code == RefusalCode::kBackendRefused;
+  const bool is_servers_failure = result.outcome != Outcome::kNotRun ||
+                                  result.code == RefusalCode::kBackendRefused;
   if (is_servers_failure) request.quality->OnFailure(now);
 }
 
@@ -284,13 +280,12 @@
     Answer(request, *request->failure, "server-failed", code, now);
     return;
   }
-  const int status = code == RefusalCode::kDeadlineExceeded ? kGatewayTimeout
-                                                            : kBadGateway;
+  const int status =
+      code == RefusalCode::kDeadlineExceeded ? kGatewayTimeout : kBadGateway;
   Fail(request, status, code, now);
 }
 
-EdgeBudget& RequestOrigin::BudgetOf(const std::string& service,
-                                    TimePoint now) {
+EdgeBudget& RequestOrigin::BudgetOf(const std::string& service, TimePoint now) {
   std::unique_ptr<EdgeBudget>& budget = m_budgets[service];
   if (!budget) {
     EdgeBudgetSettings settings;
@@ -325,13 +320,13 @@
     request->state->OnAbandoned();
     request->call = 0;
   }
-  m_log->Write(LogTopic::kRequest, "caller-gone",
-               {{"request", request->id},
-                {"route", request->route->route().name},
-                {"server", request->server_id},
-                {"after_ms",
-                 std::to_string(ToMilliseconds(now - request->received))}},
-               now);
+  m_log->Write(
+      LogTopic::kRequest, "caller-gone",
+      {{"request", request->id},
+       {"route", request->route->route().name},
+       {"server", request->server_id},
+       {"after_ms", std::to_string(ToMilliseconds(now - request->received))}},
+      now);
   Forget(request);
 }
 
--- a/Source/relay/request_origin.h
+++ b/Source/relay/request_origin.h
@@ -48,8 +48,8 @@
   RequestOrigin(EventLoop* loop, const ProtocolNames* names,
                 std::string own_service, const Placement* placement,
                 CallTransport* transport, CallExecutor* executor,
-                const SharedRetryBudget& budget,
-                EventLog* log, RelayMetrics* metrics, uint64_t seed);
+                const SharedRetryBudget& budget, EventLog* log,
+                RelayMetrics* metrics, uint64_t seed);
   ~RequestOrigin() override;
 
   void SetRoutes(std::shared_ptr<const RouteTable> routes) {
--- a/Source/relay/route_table.cc
+++ b/Source/relay/route_table.cc
@@ -31,11 +31,10 @@
         std::make_shared<ActiveRoute>(route));
   }
   for (auto& [authority, routes] : m_routes) {
-    std::stable_sort(routes.begin(), routes.end(),
-                     [](const auto& a, const auto& b) {
-                       return a->route().prefix.size() >
-                              b->route().prefix.size();
-                     });
+    std::stable_sort(
+        routes.begin(), routes.end(), [](const auto& a, const auto& b) {
+          return a->route().prefix.size() > b->route().prefix.size();
+        });
   }
 }
 
--- a/Source/relay/server_quality.cc
+++ b/Source/relay/server_quality.cc
@@ -61,8 +61,7 @@
 }
 
 double ServerQuality::Cost(TimePoint now) const {
-  const double remaining =
-      now > m_updated ? Remaining(now - m_updated) : 1.0;
+  const double remaining = now > m_updated ? Remaining(now - m_updated) : 1.0;
   const double excess =
       std::max(0.0, m_excess_time * remaining - kToleratedExcess);
   return kCostOfExcess * excess + kCostOfFailures * m_failures * remaining;
--- a/Tests/eventio_test.cc
+++ b/Tests/eventio_test.cc
@@ -114,8 +114,8 @@
        ok + "Test-Id: mine\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
        Ending::kClose, ExchangeEnd::kNoAnswer, ""},
       {"no answer at all", "", Ending::kClose, ExchangeEnd::kNoAnswer, ""},
-      {"not HTTP", "garbage\r\n\r\n", Ending::kKeepOpen,
-       ExchangeEnd::kNoAnswer, ""},
+      {"not HTTP", "garbage\r\n\r\n", Ending::kKeepOpen, ExchangeEnd::kNoAnswer,
+       ""},
       {"two lengths",
        ok + "Test-Id: mine\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\n"
             "abcd",
--- a/Tests/placement_test.cc
+++ b/Tests/placement_test.cc
@@ -137,8 +137,8 @@
   BOOST_TEST(fleet.Pick(kStart + milliseconds(10))->id == "s1");
   BOOST_TEST(fleet.placement.CountOf("work") == 5U);
   BOOST_TEST(fleet.placement.CountOf("other") == 0U);
-  BOOST_TEST((fleet.placement.Pick("other", {}, kStart, &fleet.random) ==
-              nullptr));
+  BOOST_TEST(
+      (fleet.placement.Pick("other", {}, kStart, &fleet.random) == nullptr));
 }
 
 }  // namespace
--- a/Tests/platform_test.cc
+++ b/Tests/platform_test.cc
@@ -153,8 +153,8 @@
                  uint64_t revision) {
   std::string encoded;
   absl::Base64Escape(value, &encoded);
-  return R"({"key":")" + key + R"(","value":")" + encoded +
-         R"(","revision":)" + std::to_string(revision) +
+  return R"({"key":")" + key + R"(","value":")" + encoded + R"(","revision":)" +
+         std::to_string(revision) +
          R"(,"created_rev":1,"lease":0,"current_rev":)" +
          std::to_string(revision) + "}";
 }
@@ -234,35 +234,33 @@
 BOOST_FIXTURE_TEST_CASE(WatchesFromTheOlderRead, StoreFixture) {
   store.script = {
       {"/-/kv-range",
-       {{200, R"({"items":[)" + Item("servers/i-1", ServerValue("ready", ""),
-                                     8) +
+       {{200, R"({"items":[)" +
+                  Item("servers/i-1", ServerValue("ready", ""), 8) +
                   R"(],"more_pages":false,"current_rev":10})"}}},
       {"/-/kv-key", {{200, Item("op/config", ConfigVersion(7), 12)}}},
   };
   client.Start(BootClock::now());
   BOOST_TEST(RunUntil(&pair.loop, [&] { return HasWatched(10); }));
-  BOOST_TEST(
-      RunUntil(&pair.loop, [&] { return ConfigVersionInForce() == 7; }));
+  BOOST_TEST(RunUntil(&pair.loop, [&] { return ConfigVersionInForce() == 7; }));
 }
 
 BOOST_FIXTURE_TEST_CASE(FollowsChangesAndNeverGoesBack, StoreFixture) {
-  const std::string list = R"({"items":[],"more_pages":false,"current_rev":10})";
+  const std::string list =
+      R"({"items":[],"more_pages":false,"current_rev":10})";
   store.script = {
       {"/-/kv-range", {{200, list}, {200, list}}},
       {"/-/kv-key",
        {{200, Item("op/config", ConfigVersion(7), 5)},
         {200, Item("op/config", ConfigVersion(8), 11)}}},
       {"/-/kv-watch",
-       {{200,
-         R"({"events":[)" + Item("op/config", ConfigVersion(9), 11) + "," +
-             Item("op/config", ConfigVersion(8), 12) +
-             R"(],"current_rev":12})"},
+       {{200, R"({"events":[)" + Item("op/config", ConfigVersion(9), 11) + "," +
+                  Item("op/config", ConfigVersion(8), 12) +
+                  R"(],"current_rev":12})"},
         {503, ""},
         {410, ""}}},
   };
   client.Start(BootClock::now());
-  BOOST_TEST(
-      RunUntil(&pair.loop, [&] { return ConfigVersionInForce() == 9; }));
+  BOOST_TEST(RunUntil(&pair.loop, [&] { return ConfigVersionInForce() == 9; }));
   BOOST_TEST_CONTEXT("refused, then the history is gone: all is read again") {
     BOOST_TEST(RunUntil(&pair.loop, [&] {
       return store.script[1].second.empty() && HasWatched(10);
--- a/Tests/relay_decisions_test.cc
+++ b/Tests/relay_decisions_test.cc
@@ -38,10 +38,10 @@
     const char* expected;
   };
   const std::vector<Case> cases = {
-      {"a.example", "/x/1", "short"},     {"a.example", "/x/y/1", "long"},
-      {"a.example", "/x/y", "short"},     {"A.Example:80", "/x/y/", "long"},
+      {"a.example", "/x/1", "short"},      {"a.example", "/x/y/1", "long"},
+      {"a.example", "/x/y", "short"},      {"A.Example:80", "/x/y/", "long"},
       {"b.example", "/anything", "other"}, {"a.example", "/z", nullptr},
-      {"a.example", "/x", nullptr},       {"c.example", "/x/1", nullptr},
+      {"a.example", "/x", nullptr},        {"c.example", "/x/1", nullptr},
       {"a.example", "/z?/x/", nullptr},
   };
   for (const Case& item : cases) {
--- a/Tests/relay_harness.cc
+++ b/Tests/relay_harness.cc
@@ -51,8 +51,8 @@
   address.sin_family = AF_INET;
   address.sin_addr.s_addr = htonl(INADDR_ANY);
   socklen_t length = sizeof(address);
-  BOOST_TEST_REQUIRE(
-      bind(fd, reinterpret_cast<sockaddr*>(&address), length) == 0);
+  BOOST_TEST_REQUIRE(bind(fd, reinterpret_cast<sockaddr*>(&address), length) ==
+                     0);
   getsockname(fd, reinterpret_cast<sockaddr*>(&address), &length);
   close(fd);
   return ntohs(address.sin_port);
@@ -66,8 +66,7 @@
 }
 
 void RunFor(EventLoop* loop, Duration time) {
-  loop->Schedule(BootClock::now() + time,
-                 [loop](TimePoint) { loop->Stop(); });
+  loop->Schedule(BootClock::now() + time, [loop](TimePoint) { loop->Stop(); });
   loop->Run();
 }
 
@@ -308,8 +307,8 @@
   session->Send(
       request,
       [&status](ExchangeResult result, TimePoint) {
-        status = result.end == ExchangeEnd::kAnswered ? result.response.status
-                                                      : -1;
+        status =
+            result.end == ExchangeEnd::kAnswered ? result.response.status : -1;
       },
       BootClock::now());
   RunUntil(&loop, [&status] { return status != 0; });
--- a/Tests/relay_harness.h
+++ b/Tests/relay_harness.h
@@ -95,8 +95,7 @@
 
   // Sends a request to the front node. Paths: see FakeServer; below /once/ they
   // are not idempotent, elsewhere they are.
-  std::shared_ptr<FakeCall> Send(const std::string& path,
-                                 const std::string& id,
+  std::shared_ptr<FakeCall> Send(const std::string& path, const std::string& id,
                                  Duration time_left = std::chrono::seconds(5));
   // Ends the back node without notice and starts it anew.
   void RestartBack();
--- a/Tests/relay_test.cc
+++ b/Tests/relay_test.cc
@@ -244,9 +244,8 @@
     pair.back->SetNews(&back);
     const auto call = pair.Send("/ok", "r1");
     BOOST_TEST_REQUIRE(RunUntil(&pair.loop, [&] { return call->is_over; }));
-    BOOST_TEST(RunUntil(&pair.loop, [&] {
-      return front.View().directory_revision() == 20;
-    }));
+    BOOST_TEST(RunUntil(
+        &pair.loop, [&] { return front.View().directory_revision() == 20; }));
   }
 }
 
--- a/Utilities/lint.sh
+++ b/Utilities/lint.sh
@@ -5,7 +5,7 @@
 cd "$(dirname "$0")/.."
 build=${1:-build}
 git ls-files -co --exclude-standard -- 'Source/*.cc' 'Source/*.h' 'Tests/*.cc' \
-  'Tests/*.h' 'Utilities/*.cc' 'Utilities/*.h' |
+  'Tests/*.h' 'Utilities/*.cc' 'Utilities/*.h' 'platform/*.cc' 'platform/*.h' |
   grep -vE '\.pb\.(cc|h)$' >"$build/lint-files"
 xargs clang-format --dry-run --Werror <"$build/lint-files"
 cat Utilities/wordlist.txt | while read -r word; do
@@ -15,7 +15,7 @@
   }
 done
 grep '\.cc$' "$build/lint-files" |
-  grep -Ff <(sed -n 's/^ *"file": ".*\/\(\(Source\|Tests\|Utilities\)\/.*\)".*/\1/p' \
+  grep -Ff <(sed -n 's/^ *"file": ".*\/\(\(Source\|Tests\|Utilities\|platform\)\/.*\)".*/\1/p' \
     "$build/compile_commands.json") |
   xargs -P "$(nproc)" -n 1 clang-tidy --quiet \
     --extra-arg=-Wno-unknown-warning-option -p "$build" 2>"$build/lint-log" ||
