Platform: Read all again after taking over another node's news

Change: after such news the list and the configuration are read again before the next watch. Test: ReadsAgainAfterNewsOfOthers.

--- a/Tests/platform/platform_test.cc
+++ b/Tests/platform/platform_test.cc
@@ -270,6 +270,29 @@
   }
 }
 
+// Another node's list can be newer than its configuration: a watch from the
+// revision of that list would miss the change between them.
+BOOST_FIXTURE_TEST_CASE(ReadsAgainAfterNewsOfOthers, StoreFixture) {
+  const std::string list =
+      R"({"items":[],"more_pages":false,"current_rev":10})";
+  const std::string later =
+      R"({"items":[],"more_pages":false,"current_rev":60})";
+  store.script = {
+      {"/-/kv-range", {{200, list}, {200, later}}},
+      {"/-/kv-key",
+       {{200, Item("op/config", ConfigVersion(7), 5)},
+        {200, Item("op/config", ConfigVersion(9), 45)}}},
+      {"/-/kv-watch", {{503, ""}}},
+  };
+  client.Start(BootClock::now());
+  BOOST_TEST_REQUIRE(
+      RunUntil(&pair.loop, [&] { return store.script[2].second.empty(); }));
+  relay::Snapshot snapshot;
+  snapshot.set_directory_revision(50);
+  client.ApplySnapshot(snapshot, BootClock::now());
+  BOOST_TEST(RunUntil(&pair.loop, [&] { return ConfigVersionInForce() == 9; }));
+}
+
 BOOST_FIXTURE_TEST_CASE(ReadsAllPages, StoreFixture) {
   store.script = {
       {"/-/kv-range?prefix=servers/&after=servers/i-1",
