--- a/Source/relay/call_executor.cc
+++ b/Source/relay/call_executor.cc
@@ -26,7 +26,7 @@
 
 CallExecutor::~CallExecutor() = default;
 
-void CallExecutor::Resize(uint32_t slots, TimePoint) {
+void CallExecutor::Resize(uint32_t slots) {
   if (slots == 0 || slots == m_slots) return;
   m_slots = slots;
   m_admission->SetSlots(slots);
@@ -35,7 +35,7 @@
 CallExecutor::Handle CallExecutor::Start(const relay::Call& call, Done done,
                                          TimePoint now) {
   // The caller's list may be newer than this node's own.
-  Resize(call.declared_slots(), now);
+  Resize(call.declared_slots());
   const Handle handle = ++m_last_handle;
   LocalCall& local = m_calls[handle];
   local.call = call;
@@ -45,7 +45,7 @@
   const HttpHeaders headers = DecodeHeaders(call.headers());
   local.request_id = headers.Find(m_names->request_id).value_or("");
   if (m_leaving) {
-    Finish(handle, Refusal(RefusalCode::kLeaving, call), now);
+    Finish(handle, Refusal(RefusalCode::kLeaving), now);
     return handle;
   }
   Work work;
@@ -72,13 +72,11 @@
       continue;
     }
     const Refuse& refuse = std::get<Refuse>(action);
-    const auto found = m_calls.find(refuse.id);
-    if (found == m_calls.end()) continue;
-    Finish(refuse.id, Refusal(refuse.code, found->second.call), now);
+    Finish(refuse.id, Refusal(refuse.code), now);
   }
 }
 
-CallResult CallExecutor::Refusal(RefusalCode code, const relay::Call&) const {
+CallResult CallExecutor::Refusal(RefusalCode code) {
   CallResult result;
   result.outcome = Outcome::kNotRun;
   result.code = code;
@@ -232,7 +230,7 @@
 
 void CallExecutor::OnServerChanged(uint32_t slots, bool is_cold,
                                    TimePoint now) {
-  Resize(slots, now);
+  Resize(slots);
   if (is_cold) m_admission->OnBackendRestarted(now);
   m_idle.clear();
 }
--- a/Source/relay/call_executor.h
+++ b/Source/relay/call_executor.h
@@ -85,11 +85,11 @@
   void OnExchange(Handle handle, ExchangeResult exchange, TimePoint now);
   void Finish(Handle handle, CallResult result, TimePoint now);
   void FreeSlot(Handle handle, const CallResult& result, TimePoint now);
-  CallResult Refusal(RefusalCode code, const relay::Call& call) const;
+  static CallResult Refusal(RefusalCode code);
   HttpRequest RequestFor(const LocalCall& local, TimePoint now) const;
   std::shared_ptr<HttpClientSession> TakeSession(TimePoint now);
   void GiveBack(std::shared_ptr<HttpClientSession> session, TimePoint now);
-  void Resize(uint32_t slots, TimePoint now);
+  void Resize(uint32_t slots);
 
   // Time after the deadline at which a call is broken off here, should its
   // caller not have said so.
