Retry: Spend the budget on requests that can still be finished

Cause: half of the budget was handed out, in the order of arrival, and calls that failed because of the deep service were repeated at each service above it (913 repeats there), which brought it the same calls again. Ruled out: room (in_flight 6 of 19); the choice of server (all turn away alike). Change: the budget covers a sliding window and the windows before it, as the users' bound does; calls of repeated runs count; what is under way and has a low shed hash is repeated first; a call that failed by overload below is not repeated above.

--- a/Source/relay/call_executor.cc
+++ b/Source/relay/call_executor.cc
@@ -142,6 +142,7 @@
     m_active.erase(active);
   }
   const bool was_dispatched = local.dispatched != TimePoint{};
+  result.overload_below = local.overload_below;
   if (was_dispatched) m_metrics->server_time.Add(now - local.dispatched);
   m_metrics->CountCall(result.outcome);
   if (result.outcome != Outcome::kComplete) {
@@ -212,7 +213,8 @@
   const LocalCall& parent = m_calls.at(*handle);
   return ActiveCall{parent.call.rank(), parent.call.shed_hash(),
                     parent.deadline,
-                    parent.is_under_way || parent.call.is_continuation()};
+                    parent.is_under_way || parent.call.is_continuation(),
+                    parent.call.is_repeat()};
 }
 
 void CallExecutor::OnNestedAnswered(std::string_view request_id) {
@@ -221,6 +223,12 @@
   }
 }
 
+void CallExecutor::OnNestedOverloaded(std::string_view request_id) {
+  if (const auto handle = ParentOf(request_id)) {
+    m_calls.at(*handle).overload_below = true;
+  }
+}
+
 void CallExecutor::Leave(TimePoint now) {
   m_leaving = true;
   AdmissionActions actions;
--- a/Source/relay/call_executor.h
+++ b/Source/relay/call_executor.h
@@ -31,6 +31,7 @@
     TimePoint deadline;
     // Calls that the server made for it were answered.
     bool is_under_way = false;
+    bool is_repeat = false;
   };
 
   using Done = std::function<void(CallResult, TimePoint now)>;
@@ -59,6 +60,8 @@
   std::optional<ActiveCall> FindParent(std::string_view request_id) const;
   // A request that the server made for such a call was answered.
   void OnNestedAnswered(std::string_view request_id);
+  // Such a request was turned away by an overloaded service.
+  void OnNestedOverloaded(std::string_view request_id);
 
   PeerLoad Load() const;
   bool IsIdle() const { return m_calls.empty(); }
@@ -76,6 +79,7 @@
     TimerId timer = 0;
     bool is_cancelled = false;
     bool is_under_way = false;
+    bool overload_below = false;
   };
 
   // The running call that `request_id` was made for.
--- a/Source/relay/call_result.cc
+++ b/Source/relay/call_result.cc
@@ -67,6 +67,7 @@
   }
   if (result.has_load) *answer.mutable_load() = EncodeLoad(result.load);
   answer.set_wait_us(ToMicroseconds(result.expected_wait));
+  answer.set_overload_below(result.overload_below);
   return answer;
 }
 
@@ -82,6 +83,7 @@
   result.has_load = answer.has_load();
   result.load = DecodeLoad(answer.load());
   result.expected_wait = std::chrono::microseconds(answer.wait_us());
+  result.overload_below = answer.overload_below();
   return result;
 }
 
--- a/Source/relay/call_result.h
+++ b/Source/relay/call_result.h
@@ -23,6 +23,9 @@
   PeerLoad load;
   // Expected wait for a slot there, for refusals.
   Duration expected_wait{};
+  // A call that the server made for this one was turned away by a service that
+  // is overloaded: another server would fare alike.
+  bool overload_below = false;
 };
 
 relay::Answer EncodeAnswer(uint64_t id, const CallResult& result);
--- a/Source/relay/refusal_policy.cc
+++ b/Source/relay/refusal_policy.cc
@@ -21,4 +21,16 @@
   return std::min(base + spread, most);
 }
 
+bool IsOverload(RefusalCode code) {
+  return code == RefusalCode::kOverload ||
+         code == RefusalCode::kBelowThreshold ||
+         code == RefusalCode::kBackendRefused ||
+         code == RefusalCode::kDeadlineExceeded;
+}
+
+double RetryStanding(bool is_under_way, uint32_t shed_hash) {
+  const double place = static_cast<double>(shed_hash) / UINT32_MAX;
+  return is_under_way ? place / 2 : (1 + place) / 2;
+}
+
 }  // namespace vanillatiller
--- a/Source/relay/refusal_policy.h
+++ b/Source/relay/refusal_policy.h
@@ -14,6 +14,14 @@
 // can still be answered.
 Duration RetryAfter(Duration expected_wait, Duration time_left, double draw);
 
+// True for refusals that another server of the service would give as well.
+bool IsOverload(RefusalCode code);
+
+// Standing of a request in WindowBudget. Those that are under way come first,
+// as what was done for them would be lost; among others the same ones are
+// preferred at each hop.
+double RetryStanding(bool is_under_way, uint32_t shed_hash);
+
 }  // namespace vanillatiller
 
 #endif  // VANILLATILLER_SOURCE_RELAY_REFUSAL_POLICY_H_
--- a/Source/relay/relay.h
+++ b/Source/relay/relay.h
@@ -39,7 +39,8 @@
   // The backend server beside this node.
   SocketAddress server;
   ProtocolNames names;
-  SharedRetryBudget retry_budget;
+  // This node's part of the bound on retries to one service.
+  WindowBudgetSettings retry_budget;
   // Longest time from Stop() to the end.
   Duration stop_grace = std::chrono::seconds(6);
   uint64_t incarnation = 0;
--- a/Source/relay/request_origin.cc
+++ b/Source/relay/request_origin.cc
@@ -41,12 +41,16 @@
   uint32_t shed_hash = 0;
   bool is_nested = false;
   bool is_continuation = false;
+  // It is made for a call that is a repeat.
+  bool is_of_repeat = false;
   TimerId timer = 0;
   // Servers that it was sent to or that turned it away.
   std::vector<std::string> tried;
   // Times that it may have reached a server.
   uint32_t attempts = 0;
   bool may_have_run = false;
+  // Its last attempt failed because a deeper service is overloaded.
+  bool overload_below = false;
   Duration shortest_wait = Duration::max();
   // The call under way; 0 if there is none.
   uint64_t call = 0;
@@ -63,7 +67,7 @@
                              std::string own_service,
                              const Placement* placement,
                              CallTransport* transport, CallExecutor* executor,
-                             const SharedRetryBudget& budget, EventLog* log,
+                             const WindowBudgetSettings& budget, EventLog* log,
                              RelayMetrics* metrics, uint64_t seed)
     : m_loop(loop),
       m_names(names),
@@ -108,6 +112,7 @@
     request->shed_hash = parent->shed_hash;
     request->is_nested = true;
     request->is_continuation = parent->is_under_way;
+    request->is_of_repeat = parent->is_repeat;
   }
   http.headers.RemoveConnectionFields();
   http.headers.Remove("expect");
@@ -124,7 +129,11 @@
     Refuse(request, RefusalCode::kLeaving, kRestartTime, now);
     return;
   }
-  BudgetOf(request->service, now).RecordSuccess(now);
+  if (request->is_of_repeat) {
+    BudgetOf(request->service, now).RecordRepeat(now);
+  } else {
+    BudgetOf(request->service, now).RecordRequest(now);
+  }
   Place(request, now);
 }
 
@@ -173,6 +182,7 @@
   call.set_shed_hash(request.shed_hash);
   call.set_is_nested(request.is_nested);
   call.set_is_continuation(request.is_continuation);
+  call.set_is_repeat(request.is_of_repeat || request.attempts > 0);
   call.set_route(route.name);
   return call;
 }
@@ -223,7 +233,9 @@
   // Refusals by the node beside the server show its load, not its quality.
   const bool is_servers_failure = result.outcome != Outcome::kNotRun ||
                                   result.code == RefusalCode::kBackendRefused;
-  if (is_servers_failure) request.quality->OnFailure(now);
+  if (is_servers_failure && !result.overload_below) {
+    request.quality->OnFailure(now);
+  }
 }
 
 void RequestOrigin::OnNotRun(const RequestPtr& request,
@@ -237,8 +249,7 @@
   if (result.code == RefusalCode::kBackendRefused ||
       result.code == RefusalCode::kUnknownIncarnation) {
     ++request->attempts;
-    if (!MayRepeat(*request, now) ||
-        !BudgetOf(request->service, now).TrySpend(now)) {
+    if (!MayRepeat(*request, now) || !TakeRetry(*request, now)) {
       GiveUp(request, result.code, now);
       return;
     }
@@ -260,13 +271,13 @@
                              const CallResult& result, TimePoint now) {
   ++request->attempts;
   request->may_have_run = true;
-  if (request->route->route().idempotent && MayRepeat(*request, now)) {
-    if (BudgetOf(request->service, now).TrySpend(now)) {
-      ++m_metrics->retries;
-      Place(request, now);
-      return;
-    }
-    ++m_metrics->retries_denied;
+  // A retry of a call whose deeper call was turned away would bring the
+  // overloaded service the same calls again.
+  request->overload_below = result.overload_below;
+  if (request->route->route().idempotent && !result.overload_below &&
+      MayRepeat(*request, now) && TakeRetry(*request, now)) {
+    Place(request, now);
+    return;
   }
   GiveUp(request, result.code, now);
 }
@@ -286,15 +297,21 @@
   Fail(request, status, code, now);
 }
 
-EdgeBudget& RequestOrigin::BudgetOf(const std::string& service, TimePoint now) {
-  std::unique_ptr<EdgeBudget>& budget = m_budgets[service];
-  if (!budget) {
-    EdgeBudgetSettings settings;
-    settings.ratio = m_budget.ratio;
-    settings.retries_per_second = 0;
-    settings.capacity = m_budget.burst;
-    budget = std::make_unique<EdgeBudget>(settings, now);
+bool RequestOrigin::TakeRetry(const Request& request, TimePoint now) {
+  const double standing =
+      RetryStanding(request.is_continuation, request.shed_hash);
+  if (BudgetOf(request.service, now).TrySpend(standing, now)) {
+    ++m_metrics->retries;
+    return true;
   }
+  ++m_metrics->retries_denied;
+  return false;
+}
+
+WindowBudget& RequestOrigin::BudgetOf(const std::string& service,
+                                      TimePoint now) {
+  std::unique_ptr<WindowBudget>& budget = m_budgets[service];
+  if (!budget) budget = std::make_unique<WindowBudget>(m_budget, now);
   return *budget;
 }
 
@@ -373,6 +390,11 @@
          {"config", std::to_string(config_version())}},
         now);
   }
+  const bool was_overloaded =
+      IsOverload(code) && response.status == kUnavailable;
+  if (request->is_nested && (request->overload_below || was_overloaded)) {
+    m_executor->OnNestedOverloaded(request->id);
+  }
   if (m_leaving) request->session->CloseAfterAnswer();
   request->session->Respond(response, now);
   Forget(request);
--- a/Source/relay/request_origin.h
+++ b/Source/relay/request_origin.h
@@ -33,14 +33,6 @@
                       TimePoint now) = 0;
 };
 
-// Bound on retries to one service that all nodes share; see EdgeBudget.
-struct SharedRetryBudget {
-  // Retries for each request.
-  double ratio = 0.1;
-  // Retries that one node may save up.
-  double burst = 1;
-};
-
 // Serves the requests of callers on this VM: finds the route, chooses servers,
 // repeats what may be repeated, and answers.
 class RequestOrigin : public HttpRequestHandler {
@@ -48,7 +40,7 @@
   RequestOrigin(EventLoop* loop, const ProtocolNames* names,
                 std::string own_service, const Placement* placement,
                 CallTransport* transport, CallExecutor* executor,
-                const SharedRetryBudget& budget, EventLog* log,
+                const WindowBudgetSettings& budget, EventLog* log,
                 RelayMetrics* metrics, uint64_t seed);
   ~RequestOrigin() override;
 
@@ -84,7 +76,9 @@
   // proved, with the server's failure if it gave one.
   void GiveUp(const RequestPtr& request, RefusalCode code, TimePoint now);
   bool MayRepeat(const Request& request, TimePoint now) const;
-  EdgeBudget& BudgetOf(const std::string& service, TimePoint now);
+  // Takes a retry from the budget of the request's service.
+  bool TakeRetry(const Request& request, TimePoint now);
+  WindowBudget& BudgetOf(const std::string& service, TimePoint now);
   void OnTimeout(const RequestPtr& request, TimePoint now);
   void Refuse(const RequestPtr& request, RefusalCode code, Duration wait,
               TimePoint now);
@@ -107,7 +101,7 @@
   CallTransport* m_transport;
   // Knows the calls for which the server beside this node makes others.
   CallExecutor* m_executor;
-  const SharedRetryBudget m_budget;
+  const WindowBudgetSettings m_budget;
   EventLog* m_log;
   RelayMetrics* m_metrics;
   Placement::Generator m_random;
@@ -115,7 +109,7 @@
   bool m_leaving = false;
   uint64_t m_last_call = 0;
   std::map<HttpServerSession*, RequestPtr> m_requests;
-  std::map<std::string, std::unique_ptr<EdgeBudget>> m_budgets;
+  std::map<std::string, std::unique_ptr<WindowBudget>> m_budgets;
   UsualTimes m_usual_times;
 };
 
--- a/Source/retry/retry.h
+++ b/Source/retry/retry.h
@@ -5,8 +5,9 @@
 // over its whole call chain, a retry budget for each edge, and the choice of
 // what to do after a failure.
 
-#include "retry/chain_budget.h"  // IWYU pragma: export
-#include "retry/edge_budget.h"   // IWYU pragma: export
-#include "retry/retry_policy.h"  // IWYU pragma: export
+#include "retry/chain_budget.h"   // IWYU pragma: export
+#include "retry/edge_budget.h"    // IWYU pragma: export
+#include "retry/retry_policy.h"   // IWYU pragma: export
+#include "retry/window_budget.h"  // IWYU pragma: export
 
 #endif  // VANILLATILLER_SOURCE_RETRY_RETRY_H_
--- a/Tests/relay_decisions_test.cc
+++ b/Tests/relay_decisions_test.cc
@@ -1,6 +1,7 @@
 #define BOOST_TEST_MODULE relay_decisions
 #include <boost/test/unit_test.hpp>
 #include <map>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -132,5 +133,65 @@
   BOOST_TEST((RetryAfter(Duration::zero(), seconds(2), 0) > Duration::zero()));
 }
 
+// A request that needs `calls` calls in turn, of which some were answered.
+struct ChainedRequest {
+  uint32_t shed_hash = 0;
+  int answered = 0;
+};
+
+// Part of the requests that were served whole when a service turns away 55% of
+// all calls for 8.5 s, each request needs 4 of them, and each call may be sent
+// twice. `standing` orders the retries.
+template <typename Standing>
+double ServedInBrownOut(Standing standing) {
+  constexpr int kCalls = 4;
+  constexpr double kShed = 0.55;
+  constexpr int kRequestsPerSecond = 330;
+  constexpr Duration kCallTime = milliseconds(60);
+  const TimePoint start{seconds(1000)};
+  const TimePoint fault = start + seconds(12);
+  const TimePoint end = fault + milliseconds(8500);
+  std::mt19937_64 random(7);
+  std::uniform_real_distribution<double> draw(0, 1);
+  WindowBudget budget({0.2, 1, seconds(10)}, start);
+  std::multimap<TimePoint, ChainedRequest> due;
+  int made = 0;
+  int served = 0;
+  for (int i = 0; start + i * seconds(1) / kRequestsPerSecond < end; ++i) {
+    due.emplace(start + i * seconds(1) / kRequestsPerSecond,
+                ChainedRequest{static_cast<uint32_t>(random()), 0});
+  }
+  while (!due.empty() && due.begin()->first < end) {
+    const auto [now, request] = *due.begin();
+    due.erase(due.begin());
+    const double shed = now < fault ? 0 : kShed;
+    if (request.answered == 0 && now >= fault) ++made;
+    budget.RecordRequest(now);
+    bool is_answered = draw(random) >= shed;
+    if (!is_answered &&
+        budget.TrySpend(standing(request.answered > 0, request.shed_hash),
+                        now)) {
+      is_answered = draw(random) >= shed;
+    }
+    if (!is_answered) continue;
+    const int answered = request.answered + 1;
+    if (answered < kCalls) {
+      due.emplace(now + kCallTime, ChainedRequest{request.shed_hash, answered});
+    } else if (now >= fault) {
+      ++served;
+    }
+  }
+  return static_cast<double>(served) / made;
+}
+
+// Retries in the order of arrival go to requests that fail at their next call.
+// An eighth more whole requests is the least that makes an order worth having.
+BOOST_AUTO_TEST_CASE(RetriesFinishWholeRequestsInABrownOut) {
+  const double in_order = ServedInBrownOut([](bool, uint32_t) { return 0.0; });
+  const double by_standing = ServedInBrownOut(RetryStanding);
+  BOOST_TEST_MESSAGE("served " << in_order << " and " << by_standing);
+  BOOST_TEST(by_standing > in_order * 9 / 8);
+}
+
 }  // namespace
 }  // namespace vanillatiller
--- a/Tests/relay_harness.cc
+++ b/Tests/relay_harness.cc
@@ -118,6 +118,15 @@
   session->Respond(response, now);
 }
 
+void FakeServer::FailHeld(TimePoint now) {
+  for (const auto& [session, id] : std::exchange(m_held, {})) {
+    HttpResponse response;
+    response.status = 500;
+    response.headers.Add("Test-Id", id);
+    session->Respond(response, now);
+  }
+}
+
 void FakeServer::AnswerOk(const std::shared_ptr<HttpServerSession>& session,
                           const std::string& id, TimePoint now) {
   HttpResponse response;
@@ -267,6 +276,16 @@
   return relay;
 }
 
+void RelayPair::AddServer(const std::string& id) {
+  ServerRecord record;
+  record.id = id;
+  record.service = "work";
+  record.address = {kDisturbed, FreeLoopbackPort()};
+  record.slots = 2;
+  record.revision = 2;
+  front->ApplyServer(record, BootClock::now());
+}
+
 void RelayPair::RestartBack() {
   back.reset();
   // Lets the loop close the old listeners.
@@ -278,9 +297,21 @@
 std::shared_ptr<FakeCall> RelayPair::Send(const std::string& path,
                                           const std::string& id,
                                           Duration time_left) {
+  return SendTo(front_settings.caller_listener, path, id, time_left);
+}
+
+std::shared_ptr<FakeCall> RelayPair::SendFromServer(const std::string& path,
+                                                    const std::string& id) {
+  return SendTo(back_settings.caller_listener, path, id,
+                std::chrono::seconds(5));
+}
+
+std::shared_ptr<FakeCall> RelayPair::SendTo(const SocketAddress& listener,
+                                            const std::string& path,
+                                            const std::string& id,
+                                            Duration time_left) {
   auto call = std::make_shared<FakeCall>();
-  call->session = std::make_shared<HttpClientSession>(
-      &loop, front_settings.caller_listener, "");
+  call->session = std::make_shared<HttpClientSession>(&loop, listener, "");
   HttpRequest request;
   request.method = "GET";
   request.target = path;
--- a/Tests/relay_harness.h
+++ b/Tests/relay_harness.h
@@ -39,8 +39,9 @@
                  HttpRequest request, TimePoint now) override;
   void OnCallerGone(const std::shared_ptr<HttpServerSession>& session,
                     TimePoint now) override;
-  // Answers all requests that wait.
+  // Answers all requests that wait, with success or with 500.
   void Release(TimePoint now);
+  void FailHeld(TimePoint now);
 
   // Requests by identity, in order.
   std::vector<Arrival> arrivals;
@@ -97,6 +98,11 @@
   // are not idempotent, elsewhere they are.
   std::shared_ptr<FakeCall> Send(const std::string& path, const std::string& id,
                                  Duration time_left = std::chrono::seconds(5));
+  // Sends a request that the server beside the back node makes itself.
+  std::shared_ptr<FakeCall> SendFromServer(const std::string& path,
+                                           const std::string& id);
+  // Lists another server, which the back node reaches like the first.
+  void AddServer(const std::string& id);
   // Ends the back node without notice and starts it anew.
   void RestartBack();
   int ReadinessOf(const SocketAddress& health);
@@ -114,6 +120,9 @@
   std::unique_ptr<Relay> back;
 
  private:
+  std::shared_ptr<FakeCall> SendTo(const SocketAddress& listener,
+                                   const std::string& path,
+                                   const std::string& id, Duration time_left);
   std::unique_ptr<Relay> MakeRelay(const RelaySettings& settings);
 };
 
--- a/Tests/relay_test.cc
+++ b/Tests/relay_test.cc
@@ -1,6 +1,7 @@
 #define BOOST_TEST_MODULE relay
 #include "relay/relay.h"
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <string>
 #include <vector>
@@ -65,6 +66,40 @@
              "(none)");
 }
 
+// The server fails a request because a call that it made for it was turned
+// away, or for a reason of its own. Only in the second case a retry can help;
+// in the first it would bring the overloaded service the same calls again.
+BOOST_AUTO_TEST_CASE(RepeatsNothingThatFailedByOverloadBelow) {
+  struct Case {
+    const char* what;
+    const char* nested_path;
+    size_t attempts;
+  };
+  const std::vector<Case> cases = {{"turned away", "/shed", 1},
+                                   {"answered", "/ok", 2}};
+  for (const Case& item : cases) {
+    BOOST_TEST_CONTEXT(item.what) {
+      RelayPair pair;
+      pair.AddServer("server-2");
+      const auto call = pair.Send("/hold", "r1");
+      BOOST_TEST_REQUIRE(
+          RunUntil(&pair.loop, [&] { return pair.server.held() == 1; }));
+      const auto nested = pair.SendFromServer(item.nested_path, "r1.n1");
+      BOOST_TEST_REQUIRE(RunUntil(&pair.loop, [&] { return nested->is_over; }));
+      pair.server.FailHeld(BootClock::now());
+      RunFor(&pair.loop, milliseconds(100));
+      const auto is_attempt = [](const FakeServer::Arrival& arrival) {
+        return arrival.id == "r1";
+      };
+      BOOST_TEST(std::count_if(pair.server.arrivals.begin(),
+                               pair.server.arrivals.end(), is_attempt) ==
+                 static_cast<ptrdiff_t>(item.attempts));
+      BOOST_TEST(call->is_over == (item.attempts == 1));
+      pair.server.FailHeld(BootClock::now());
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(StopsIdempotentWorkWhenItsCallerLeaves) {
   RelayPair pair;
   const auto safe = pair.Send("/hold", "safe");
--- a/Tests/retry_test.cc
+++ b/Tests/retry_test.cc
@@ -3,7 +3,9 @@
 
 #include <rapidcheck.h>
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
+#include <numeric>
 #include <random>
 #include <thread>
 #include <vector>
@@ -159,6 +161,80 @@
   BOOST_TEST(budget.Balance(kStart + seconds(101)) == 3.0);
 }
 
+// The fleet's bound: in no window more retries than the ratio of the requests
+// of that window, or of the one before it, or half a window before it. Failures
+// and traffic come in waves, and calls of repeated runs count as repeats.
+BOOST_AUTO_TEST_CASE(WindowBudgetKeepsItsBound) {
+  constexpr double kRatio = 0.2;
+  constexpr double kBurst = 1;
+  constexpr int kWindow = 10'000;
+  std::mt19937_64 random(11);
+  std::uniform_real_distribution<double> draw(0, 1);
+  for (int round = 0; round < 20; ++round) {
+    WindowBudget budget({kRatio, kBurst, milliseconds(kWindow)}, kStart);
+    std::vector<int> requests(60'000);
+    std::vector<int> retries(requests.size());
+    double rate = draw(random);
+    double failures = draw(random);
+    for (size_t ms = 0; ms < requests.size(); ++ms) {
+      const TimePoint now = kStart + milliseconds(ms);
+      if (ms % 4000 == 0) {
+        rate = draw(random) * draw(random);
+        failures = draw(random);
+      }
+      if (draw(random) >= rate) continue;
+      ++requests[ms];
+      budget.RecordRequest(now);
+      if (draw(random) < failures && budget.TrySpend(draw(random), now)) {
+        ++retries[ms];
+      }
+    }
+    const auto count = [](const std::vector<int>& events, int from) {
+      const auto begin = events.begin() + std::max(from, 0);
+      return std::accumulate(begin,
+                             events.begin() + std::max(from + kWindow, 0), 0);
+    };
+    for (int from = 0; from + kWindow <= 60'000; from += 97) {
+      const int most =
+          std::max({count(requests, from), count(requests, from - kWindow / 2),
+                    count(requests, from - kWindow)});
+      BOOST_TEST_REQUIRE(count(retries, from) <= kRatio * most + 2 * kBurst);
+    }
+  }
+}
+
+// While few retries are wanted each is granted; when they run short, a good
+// standing is served and a bad one is not.
+BOOST_AUTO_TEST_CASE(WindowBudgetServesByStanding) {
+  WindowBudget budget({0.2, 1, seconds(10)}, kStart);
+  TimePoint now = kStart;
+  const auto pass = [&](int requests) {
+    for (int i = 0; i < requests; ++i) {
+      now += milliseconds(1);
+      budget.RecordRequest(now);
+    }
+  };
+  pass(10'000);
+  BOOST_TEST(budget.TrySpend(1, now));
+  pass(1000);
+  int good = 0;
+  int bad = 0;
+  for (int i = 0; i < 4000; ++i) {
+    pass(1);
+    bad += budget.TrySpend(0.9, now) ? 1 : 0;
+    good += budget.TrySpend(0.05, now) ? 1 : 0;
+  }
+  BOOST_TEST(good > 5 * bad);
+}
+
+// Calls of runs that are repeats use up the budget of the service they reach.
+BOOST_AUTO_TEST_CASE(RepeatsMadeElsewhereCount) {
+  WindowBudget budget({0.2, 1, seconds(10)}, kStart);
+  for (int i = 0; i < 100; ++i) budget.RecordRequest(kStart);
+  for (int i = 0; i < 21; ++i) budget.RecordRepeat(kStart);
+  BOOST_TEST(!budget.TrySpend(0, kStart + seconds(1)));
+}
+
 // Guards against a retry that one of the budgets refuses but the other pays.
 BOOST_AUTO_TEST_CASE(RefusedRetryIsNotCharged) {
   const RetryPolicy policy{RetrySettings{}};
