Admission: Leave a few slots free where that serves more

Cause: the ranked policy gave out all declared slots, so the servers worked at 61 / 1.3 of their rate. Ruled out: the retries (none at that service), placement (all its servers had 120 calls waiting). Change: while calls wait, counts of ended calls with all slots and with a few less are compared, and the better bound is kept.

--- a/Source/admission/admission.cc
+++ b/Source/admission/admission.cc
@@ -6,6 +6,7 @@
 #include "absl/strings/str_cat.h"
 #include "admission/concurrency_limit.h"
 #include "admission/flow_table.h"
+#include "admission/saturation_limit.h"
 #include "admission/threshold_controller.h"
 #include "admission/work_queue.h"
 
@@ -64,6 +65,7 @@
       : settings(wanted),
         traits(TraitsOf(wanted.policy)),
         limit(wanted.slots),
+        saturation_limit(wanted.slots),
         thresholds(wanted.target_queue_delay),
         last_event(now),
         window_start(now),
@@ -101,6 +103,7 @@
   AdmissionSettings settings;
   PolicyTraits traits;
   ConcurrencyLimit limit;
+  SaturationLimit saturation_limit;
   FlowTable flows;
   WorkQueue queue;
   ThresholdController thresholds;
@@ -113,6 +116,8 @@
   // Slots held, integrated over the window, in seconds.
   double held_seconds = 0;
   uint32_t smallest_queue = 0;
+  // Calls that the backend server worked on and that ended in the window.
+  uint32_t finished = 0;
   bool was_limit_reached = false;
   uint32_t nested_offered = 0;
   uint32_t nested_refused = 0;
@@ -122,7 +127,8 @@
 
 uint32_t Admission::Parts::Limit() const {
   if (!traits.has_limit) return kUnlimited;
-  return traits.is_adaptive ? limit.Current() : settings.slots;
+  if (traits.is_adaptive) return limit.Current();
+  return traits.is_ranked ? saturation_limit.Current() : settings.slots;
 }
 
 uint32_t Admission::Parts::QueueBound() const {
@@ -139,6 +145,7 @@
     window_start = now;
     held_seconds = 0;
     smallest_queue = queue.size();
+    finished = 0;
     was_limit_reached = false;
     return;
   }
@@ -162,6 +169,11 @@
     limit.OnWindow(was_limit_reached, now);
     thresholds.OnWindow(report, &flows);
   }
+  const double mean_hold = held_seconds / std::max(1U, finished);
+  saturation_limit.OnWindow(smallest_queue > 0, finished, length,
+                            std::chrono::duration_cast<Duration>(
+                                std::chrono::duration<double>(mean_hold)));
+  finished = 0;
   for (ServiceTime& item : flows.ServiceTimes()) {
     item.OnWindow(was_limit_reached);
   }
@@ -313,6 +325,7 @@
     limit.OnShed(InFlight() + 1, call.dispatched, now);
     return;
   }
+  ++finished;
   if (call.dispatched < valid_from) return;
   const Duration hold = now - call.dispatched;
   ServiceTime& estimate = flows.ServiceTimeOf(flows.At(call.flow));
@@ -463,6 +476,7 @@
 void Admission::SetSlots(uint32_t slots) {
   m_parts->settings.slots = std::clamp(slots, 1U, kMaxSlots);
   m_parts->limit.SetSlots(m_parts->settings.slots);
+  m_parts->saturation_limit.SetSlots(m_parts->settings.slots);
 }
 
 void Admission::SetTenantWeights(const std::vector<TenantWeight>& weights) {
--- a/Source/admission/admission_policy.h
+++ b/Source/admission/admission_policy.h
@@ -14,8 +14,9 @@
   kFixed = 2,
   // No limit; a baseline.
   kNone = 3,
-  // The declared slots, for backend servers that state them truthfully, and a
-  // ranked queue. No thresholds: what cannot be served in time is refused one
+  // The declared slots, or a few less if that serves more, for backend servers
+  // that state them truthfully, and a ranked queue. No thresholds: what cannot
+  // be served in time is refused one
   // by one.
   kRanked = 4,
 };
--- a/Tests/admission_test.cc
+++ b/Tests/admission_test.cc
@@ -554,5 +554,34 @@
   BOOST_TEST(std::holds_alternative<Dispatch>(actions.at(0)));
 }
 
+// Twice what a backend server can take, which slows down when it is nearly
+// full, or does not. Bounds: what 57 of 61 slots, or all of them, can take,
+// less a twentieth for the comparisons.
+BOOST_AUTO_TEST_CASE(SaturatedServerServesMost) {
+  struct Case {
+    double slowdown;
+    double slots_in_use;
+  };
+  for (const Case& item : {Case{1.3, 57}, Case{1.0, 61}}) {
+    BOOST_TEST_CONTEXT("slowdown " << item.slowdown) {
+      DriverSettings settings;
+      settings.policy = AdmissionPolicy::kRanked;
+      settings.duration = seconds(30);
+      DriverService service;
+      service.slots = 61;
+      service.workers = 61;
+      service.mean_time = milliseconds(45);
+      service.nearly_full_slowdown = item.slowdown;
+      settings.services = {service};
+      DriverStream stream;
+      stream.name = "all";
+      stream.rate = 2700;
+      settings.streams = {stream};
+      const DriverResult result = AdmissionDriver(settings).Run();
+      BOOST_TEST(result.goodput > 0.95 * item.slots_in_use / 0.045);
+    }
+  }
+}
+
 }  // namespace
 }  // namespace vanillatiller
--- a/Utilities/admission_driver.cc
+++ b/Utilities/admission_driver.cc
@@ -263,7 +263,10 @@
 }
 
 double AdmissionDriver::Slowdown(uint32_t service) const {
-  double result = 1;
+  const DriverService& spec = m_settings.services[service];
+  const bool is_nearly_full =
+      m_servers[service].held >= spec.nearly_full * spec.slots;
+  double result = is_nearly_full ? spec.nearly_full_slowdown : 1;
   for (const DriverFault& fault : m_settings.faults) {
     const bool is_inside =
         m_now >= m_start + fault.from && m_now < m_start + fault.to;
--- a/Utilities/admission_driver.h
+++ b/Utilities/admission_driver.h
@@ -50,6 +50,10 @@
   uint32_t shed_above = 0;
   // Mean time that it works for one call, exponentially distributed.
   Duration mean_time = std::chrono::milliseconds(10);
+  // With at least this part of its slots taken it takes `nearly_full_slowdown`
+  // times as long.
+  double nearly_full = 0.95;
+  double nearly_full_slowdown = 1;
   // Started anew at time zero.
   bool starts_cold = false;
 };
