Placement: Let large messages wait for a slot before they cross regions

Load pattern: a region is short of servers (cut off, drained, slow) while others have room; answers have 5 kB and the bytes between regions are paid. Cause: a crossing had one price whatever it carried, so every call crossed as soon as it would wait at all near. Ruled out: calls that cross for slow servers (a slow server still counts by its quality). Change: the usual size of a route's calls counts in the cost of distance, for the most urgent rank by a quarter. Test: LargeMessagesRatherWaitThanCrossRegions.

--- a/Source/relay/placement.cc
+++ b/Source/relay/placement.cc
@@ -1,16 +1,26 @@
 #include "relay/placement.h"
 
 #include <algorithm>
+#include <array>
 #include <boost/random/uniform_01.hpp>
 #include <utility>
 
 namespace vanillatiller {
 namespace {
 
-// Costs of the distance to a server; see LoadCost().
-constexpr double kSameDomainDistance = 0.01;
-constexpr double kSameRegionDistance = 0.12;
-constexpr double kOtherRegionDistance = 0.5;
+// Costs of a distance, against that of a server's load; see LoadCost().
+struct DistanceCost {
+  // For the time that messages take.
+  double of_call = 0;
+  // For bytes, which are paid between failure domains, and seven times as much
+  // between regions.
+  double of_kilobyte = 0;
+};
+constexpr std::array<DistanceCost, 4> kDistanceCosts = {
+    {{0, 0}, {0.01, 0}, {0.12, 0.05}, {0.5, 0.35}}};
+// Part of the cost of bytes that counts for the most urgent calls: time is
+// worth more to them.
+constexpr double kBytesPartOfUrgent = 0.25;
 // Costs of a server's load: little while it has free slots, and steeply rising
 // once it is nearly full, as calls then wait.
 constexpr double kCostPerLoad = 0.2;
@@ -22,6 +32,12 @@
 // Random addition that keeps nodes with equal views from choosing alike.
 constexpr double kJitter = 0.02;
 
+double CostOf(Distance distance, const CallTraits& call) {
+  const DistanceCost& cost = kDistanceCosts.at(static_cast<size_t>(distance));
+  const double part = call.rank == 0 ? kBytesPartOfUrgent : 1;
+  return cost.of_call + part * cost.of_kilobyte * call.kilobytes;
+}
+
 double LoadCost(double load) {
   return kCostPerLoad * load +
          kCostPerExcessLoad * std::max(0.0, load - kNearlyFull);
@@ -29,17 +45,17 @@
 
 }  // namespace
 
-double Placement::DistanceTo(const ServerRecord& server) const {
-  if (server.address.ip == m_locality.vm_ip) return 0;
+Distance Placement::DistanceTo(const ServerRecord& server) const {
+  if (server.address.ip == m_locality.vm_ip) return Distance::kOwnVm;
   if (server.failure_domain == m_locality.failure_domain) {
-    return kSameDomainDistance;
+    return Distance::kOwnDomain;
   }
   const auto own = m_locality.regions.find(m_locality.failure_domain);
   const auto other = m_locality.regions.find(server.failure_domain);
   const bool same_region = own != m_locality.regions.end() &&
                            other != m_locality.regions.end() &&
                            own->second == other->second;
-  return same_region ? kSameRegionDistance : kOtherRegionDistance;
+  return same_region ? Distance::kOwnRegion : Distance::kOtherRegion;
 }
 
 void Placement::Update(std::span<const ServerRecord* const> servers,
@@ -76,6 +92,7 @@
 }
 
 const Candidate* Placement::Pick(std::string_view service,
+                                 const CallTraits& call,
                                  std::span<const std::string> excluded,
                                  TimePoint now, Generator* random) const {
   const auto found = m_services.find(service);
@@ -101,7 +118,8 @@
     }
     const bool is_ejected = state.IsEjected(now);
     const double cost =
-        LoadCost(state.Load(candidate.slots, now)) + candidate.distance +
+        LoadCost(state.Load(candidate.slots, now)) +
+        CostOf(candidate.distance, call) +
         std::max(0.0, candidate.quality->Cost(now) - usual_quality) +
         kJitter * draw(*random);
     const bool is_better = best == nullptr ||
--- a/Source/relay/placement.h
+++ b/Source/relay/placement.h
@@ -17,6 +17,22 @@
 
 namespace vanillatiller {
 
+// How far a server is from this node.
+enum class Distance : uint8_t {
+  kOwnVm = 0,
+  kOwnDomain = 1,
+  kOwnRegion = 2,
+  kOtherRegion = 3,
+};
+
+// What a call is like, for the choice of its server.
+struct CallTraits {
+  // Usual size of request and answer.
+  double kilobytes = 0;
+  // 0 is the most important.
+  uint32_t rank = 0;
+};
+
 // A server that may get calls, with what this node learned of it.
 struct Candidate {
   std::string id;
@@ -25,8 +41,7 @@
   // Listener of the node beside the server.
   SocketAddress node;
   uint32_t slots = 1;
-  // Cost of the distance; see Placement.
-  double distance = 0;
+  Distance distance = Distance::kOtherRegion;
   std::shared_ptr<PeerState> state;
   std::shared_ptr<ServerQuality> quality;
 };
@@ -46,10 +61,11 @@
 // Load pattern: demand of one service exceeds the servers of a failure domain,
 // while others have room; or servers differ in speed. Each server counts with
 // a cost of its load, which rises steeply once it is nearly full, plus one for
-// how badly it served of late, plus a constant for its distance, and the lowest
-// sum wins. So work stays near while
-// there is room, overflows to the own region first, and to other regions, which
-// cost 60 ms and paid bytes, only when calls would wait at all near servers.
+// how badly it served of late, plus one for its distance, and the lowest sum
+// wins. So work stays near while there is room, overflows to the own region
+// first, and to other regions, which cost 60 ms and paid bytes, only when calls
+// would wait at all near servers. Large messages rather wait for a slot than
+// cross regions, most so those of less urgent work.
 class Placement {
  public:
   using Generator = boost::random::mt19937_64;
@@ -62,7 +78,7 @@
   // Nullptr if no server may be chosen. `excluded` are identities of servers
   // that the request has tried. Ejected servers are used only where no other
   // is left.
-  const Candidate* Pick(std::string_view service,
+  const Candidate* Pick(std::string_view service, const CallTraits& call,
                         std::span<const std::string> excluded, TimePoint now,
                         Generator* random) const;
 
@@ -72,7 +88,7 @@
   std::vector<const Candidate*> AtNode(const SocketAddress& node) const;
 
  private:
-  double DistanceTo(const ServerRecord& server) const;
+  Distance DistanceTo(const ServerRecord& server) const;
 
   Locality m_locality;
   bool m_was_updated = false;
--- a/Source/relay/relay.h
+++ b/Source/relay/relay.h
@@ -25,6 +25,7 @@
 #include "relay/route_table.h"       // IWYU pragma: export
 #include "relay/server_directory.h"  // IWYU pragma: export
 #include "relay/server_quality.h"    // IWYU pragma: export
+#include "relay/usual_calls.h"       // IWYU pragma: export
 
 namespace vanillatiller {
 
--- a/Source/relay/request_origin.cc
+++ b/Source/relay/request_origin.cc
@@ -138,8 +138,10 @@
 }
 
 void RequestOrigin::Place(const RequestPtr& request, TimePoint now) {
-  const Candidate* server =
-      m_placement->Pick(request->service, request->tried, now, &m_random);
+  const CallTraits traits = {
+      m_usual_calls.Kilobytes(request->route->route().name), request->rank};
+  const Candidate* server = m_placement->Pick(request->service, traits,
+                                              request->tried, now, &m_random);
   if (server == nullptr || request->tried.size() >= kMaxPlacements) {
     const RefusalCode code =
         request->tried.empty() ? RefusalCode::kNoPeer : RefusalCode::kOverload;
@@ -225,8 +227,11 @@
   const bool was_served = result.outcome == Outcome::kComplete &&
                           result.response.status < kFirstServerError;
   if (was_served) {
+    const std::string& route = request.route->route().name;
     const double relative_time =
-        m_usual_times.Relate(request.route->route().name, now - request.placed);
+        m_usual_calls.RelateTime(route, now - request.placed);
+    m_usual_calls.AddSize(
+        route, request.http.body.size() + result.response.body.size());
     request.quality->OnSuccess(relative_time, now);
     return;
   }
--- a/Source/relay/request_origin.h
+++ b/Source/relay/request_origin.h
@@ -17,6 +17,7 @@
 #include "relay/protocol_names.h"
 #include "relay/relay_metrics.h"
 #include "relay/route_table.h"
+#include "relay/usual_calls.h"
 #include "retry/retry.h"
 
 namespace vanillatiller {
@@ -110,7 +111,7 @@
   uint64_t m_last_call = 0;
   std::map<HttpServerSession*, RequestPtr> m_requests;
   std::map<std::string, std::unique_ptr<WindowBudget>> m_budgets;
-  UsualTimes m_usual_times;
+  UsualCalls m_usual_calls;
 };
 
 }  // namespace vanillatiller
--- a/Source/relay/server_quality.cc
+++ b/Source/relay/server_quality.cc
@@ -8,7 +8,6 @@
 
 // Weight of one call in the averages: about the last ten calls count.
 constexpr double kSampleWeight = 0.1;
-constexpr double kUsualTimeWeight = 0.02;
 // Time in which what was seen fades to a third.
 constexpr Duration kFadeTime = std::chrono::seconds(3);
 // Slowness that servers of one service differ by anyway.
@@ -23,18 +22,6 @@
 
 }  // namespace
 
-double UsualTimes::Relate(std::string_view route, Duration time) {
-  const double seconds = std::chrono::duration<double>(time).count();
-  const auto found = m_seconds.find(route);
-  if (found == m_seconds.end()) {
-    m_seconds.emplace(route, seconds);
-    return 1;
-  }
-  const double usual = found->second;
-  found->second += kUsualTimeWeight * (seconds - usual);
-  return usual > 0 ? seconds / usual : 1;
-}
-
 double ServerQuality::Remaining(Duration passed) {
   return std::exp(-std::chrono::duration<double>(passed) /
                   std::chrono::duration<double>(kFadeTime));
--- a/Source/relay/server_quality.h
+++ b/Source/relay/server_quality.h
@@ -1,24 +1,10 @@
 #ifndef VANILLATILLER_SOURCE_RELAY_SERVER_QUALITY_H_
 #define VANILLATILLER_SOURCE_RELAY_SERVER_QUALITY_H_
 
-#include <map>
-#include <string>
-#include <string_view>
-
 #include "base/base.h"
 
 namespace vanillatiller {
 
-// Usual time of the calls of each route, over all servers.
-class UsualTimes {
- public:
-  // Notes one call's time and returns it relative to the usual time before.
-  double Relate(std::string_view route, Duration time);
-
- private:
-  std::map<std::string, double, std::less<>> m_seconds;
-};
-
 // How well one server serves, apart from its load, as this node saw it.
 //
 // Load pattern: a server turns slow, or fails a part of its calls while its
--- a/Tests/placement_test.cc
+++ b/Tests/placement_test.cc
@@ -49,8 +49,9 @@
   }
 
   const Candidate* Pick(TimePoint now,
-                        std::span<const std::string> excluded = {}) {
-    return placement.Pick("work", excluded, now, &random);
+                        std::span<const std::string> excluded = {},
+                        const CallTraits& call = {}) {
+    return placement.Pick("work", call, excluded, now, &random);
   }
 
   // The node beside server `index` reports its load.
@@ -93,6 +94,32 @@
   }
 }
 
+// The own region has no free slot, another is idle. What is small or urgent
+// crosses; what is large waits up to the usual time of a call, but not longer.
+BOOST_AUTO_TEST_CASE(LargeMessagesRatherWaitThanCrossRegions) {
+  struct Case {
+    const char* what;
+    CallTraits call;
+    uint32_t taken_near;
+    const char* expected;
+  };
+  const std::vector<Case> cases = {
+      {"small", {0.3, 1}, kSlots + 5, "s5"},
+      {"large", {5, 1}, kSlots + 5, "s0"},
+      {"large, most urgent", {5, 0}, kSlots + 8, "s5"},
+      {"large, a long queue", {5, 1}, 5 * kSlots / 2, "s5"},
+  };
+  for (const Case& item : cases) {
+    Fleet fleet;
+    const uint32_t near = item.taken_near;
+    const std::array<uint32_t, 6> taken = {near, near + 10, 9, 9, 9, 0};
+    for (size_t i = 0; i < 6; ++i) fleet.Report(i, taken[i], kStart);
+    BOOST_TEST_CONTEXT(item.what) {
+      BOOST_TEST(fleet.Pick(kStart, {}, item.call)->id == item.expected);
+    }
+  }
+}
+
 // A burst of twice the capacity of the own region: the part that crosses
 // regions is what the region has no slots for.
 BOOST_AUTO_TEST_CASE(BurstCrossesRegionsOnlyForWhatIsTooMuch) {
@@ -137,8 +164,8 @@
   BOOST_TEST(fleet.Pick(kStart + milliseconds(10))->id == "s1");
   BOOST_TEST(fleet.placement.CountOf("work") == 5U);
   BOOST_TEST(fleet.placement.CountOf("other") == 0U);
-  BOOST_TEST(
-      (fleet.placement.Pick("other", {}, kStart, &fleet.random) == nullptr));
+  BOOST_TEST((fleet.placement.Pick("other", {}, {}, kStart, &fleet.random) ==
+              nullptr));
 }
 
 }  // namespace
