Relay: Let no request that begins overtake one that is under way

Ruled out: the order within a rank, by which those under way came first already. Change: calls for requests under way wait with rank 1; the most important rank stays first. The order is a function of its own (call_order). Tests: CallsUnderWayGoBeforeThoseThatBegin (failed before), CallsOfRequestsUnderWayAreNotOvertaken (replays the load at one server; wasted work at most 5%, passes with either order).

--- a/Source/relay/call_executor.cc
+++ b/Source/relay/call_executor.cc
@@ -4,6 +4,7 @@
 #include <utility>
 #include <variant>
 
+#include "relay/call_order.h"
 #include "relay/server_answer.h"
 
 namespace vanillatiller {
@@ -48,16 +49,8 @@
     Finish(handle, Refusal(RefusalCode::kLeaving), now);
     return handle;
   }
-  Work work;
-  work.id = handle;
-  // Requests that are under way go first; what was done for them is not lost.
-  work.shed_hash = call.is_continuation() ? 0 : call.shed_hash();
-  work.rank = call.rank();
-  work.is_nested = call.is_nested();
-  work.deadline = local.deadline;
-  work.method = local.call.route();
   AdmissionActions actions;
-  m_admission->Offer(work, now, &actions);
+  m_admission->Offer(WorkFor(local.call, handle, now), now, &actions);
   CarryOut(&actions, now);
   return handle;
 }
--- /dev/null
+++ b/Source/relay/call_order.cc
@@ -0,0 +1,29 @@
+#include "relay/call_order.h"
+
+#include <algorithm>
+
+namespace vanillatiller {
+namespace {
+
+// Least important rank that calls for requests under way wait in: the one after
+// the most important.
+constexpr uint32_t kRankUnderWay = 1;
+
+}  // namespace
+
+Work WorkFor(const relay::Call& call, WorkId id, TimePoint now) {
+  Work work;
+  work.id = id;
+  work.rank = call.rank();
+  work.shed_hash = call.shed_hash();
+  if (call.is_continuation()) {
+    work.rank = std::min(work.rank, kRankUnderWay);
+    work.shed_hash = 0;
+  }
+  work.is_nested = call.is_nested();
+  work.deadline = now + std::chrono::microseconds(call.time_left_us());
+  work.method = call.route();
+  return work;
+}
+
+}  // namespace vanillatiller
--- a/Source/relay/relay.h
+++ b/Source/relay/relay.h
@@ -13,6 +13,7 @@
 
 #include "eventio/eventio.h"
 #include "relay/call_executor.h"     // IWYU pragma: export
+#include "relay/call_order.h"        // IWYU pragma: export
 #include "relay/event_log.h"         // IWYU pragma: export
 #include "relay/fleet_news.h"        // IWYU pragma: export
 #include "relay/peer_client.h"       // IWYU pragma: export
--- a/Tests/relay_decisions_test.cc
+++ b/Tests/relay_decisions_test.cc
@@ -1,6 +1,10 @@
 #define BOOST_TEST_MODULE relay_decisions
+#include <algorithm>
+#include <array>
 #include <boost/test/unit_test.hpp>
+#include <functional>
 #include <map>
+#include <memory>
 #include <random>
 #include <string>
 #include <vector>
@@ -184,6 +188,207 @@
   return static_cast<double>(served) / made;
 }
 
+// Requests of two ranks, each of which needs a service with one server five
+// times in turn.
+class ChainedLoad {
+ public:
+  struct Result {
+    // Part of the requests of each rank that were served whole.
+    std::array<double, 2> served{};
+    // Part of the calls that ended for requests that failed.
+    double wasted = 0;
+  };
+
+  // `rates` are requests per second of ranks 1 and 2.
+  explicit ChainedLoad(std::array<double, 2> rates) : m_rates(rates) {
+    Findings findings;
+    m_admission = Admission::Builder()
+                      .SetSlots(kSlots)
+                      .SetPolicy(AdmissionPolicy::kRanked)
+                      .SetMaxQueueWait(seconds(2))
+                      .Build(kStart, &findings);
+  }
+
+  Result Run() {
+    for (size_t rank = 0; rank < m_rates.size(); ++rank) ScheduleNext(rank);
+    for (TimePoint tick = kStart; tick < kEnd; tick += milliseconds(20)) {
+      m_events.emplace(tick, [this](TimePoint now) {
+        AdmissionActions actions;
+        m_admission->OnTick(now, &actions);
+        CarryOut(actions, now);
+      });
+    }
+    while (!m_events.empty() && m_events.begin()->first < kEnd) {
+      const auto event = m_events.extract(m_events.begin());
+      event.mapped()(event.key());
+    }
+    Result result;
+    int calls = 0;
+    int wasted = 0;
+    for (const Request& request : m_requests) {
+      calls += request.answered;
+      if (request.has_failed) wasted += request.answered;
+    }
+    result.wasted = static_cast<double>(wasted) / calls;
+    for (size_t i = 0; i < m_rates.size(); ++i) {
+      result.served[i] = static_cast<double>(m_served[i]) / m_made[i];
+    }
+    return result;
+  }
+
+  static constexpr uint32_t kSlots = 61;
+  static constexpr int kCalls = 5;
+  static constexpr Duration kMeanTime = milliseconds(45);
+
+ private:
+  struct Request {
+    size_t rank_index = 0;
+    uint32_t shed_hash = 0;
+    int answered = 0;
+    bool has_failed = false;
+    TimePoint deadline;
+  };
+
+  static constexpr TimePoint kStart{seconds(1000)};
+  static constexpr TimePoint kEnd = kStart + seconds(20);
+  static constexpr Duration kTimeout = seconds(2);
+  static constexpr Duration kCallTimeout = milliseconds(700);
+
+  void ScheduleNext(size_t rank_index) {
+    std::exponential_distribution<double> pause(m_rates.at(rank_index));
+    m_next.at(rank_index) += std::chrono::duration_cast<Duration>(
+        std::chrono::duration<double>(pause(m_random)));
+    m_events.emplace(
+        kStart + m_next.at(rank_index), [this, rank_index](TimePoint now) {
+          ++m_made.at(rank_index);
+          m_requests.push_back({rank_index, static_cast<uint32_t>(m_random()),
+                                0, false, now + kTimeout});
+          Offer(m_requests.size() - 1, now);
+          ScheduleNext(rank_index);
+        });
+  }
+
+  void Offer(size_t index, TimePoint now) {
+    const Request& request = m_requests[index];
+    relay::Call call;
+    call.set_rank(static_cast<uint32_t>(request.rank_index) + 1);
+    call.set_shed_hash(request.shed_hash);
+    call.set_is_nested(true);
+    call.set_is_continuation(request.answered > 0);
+    call.set_time_left_us(
+        ToMicroseconds(std::min(kCallTimeout, request.deadline - now)));
+    call.set_route("inner");
+    const WorkId id = ++m_last_id;
+    m_calls[id] = index;
+    AdmissionActions actions;
+    m_admission->Offer(WorkFor(call, id, now), now, &actions);
+    CarryOut(actions, now);
+  }
+
+  void CarryOut(const AdmissionActions& actions, TimePoint now) {
+    for (const AdmissionAction& action : actions) {
+      if (const auto* refuse = std::get_if<Refuse>(&action)) {
+        m_requests[m_calls[refuse->id]].has_failed = true;
+        continue;
+      }
+      const WorkId id = std::get<Dispatch>(action).id;
+      std::exponential_distribution<double> time(
+          1 / std::chrono::duration<double>(kMeanTime).count());
+      const auto end = now + std::chrono::duration_cast<Duration>(
+                                 std::chrono::duration<double>(time(m_random)));
+      m_events.emplace(end, [this, id](TimePoint later) { End(id, later); });
+    }
+  }
+
+  void End(WorkId id, TimePoint now) {
+    const size_t index = m_calls[id];
+    Request& request = m_requests[index];
+    AdmissionActions actions;
+    m_admission->OnFinished(id, {BackendOutcome::kOk, {}}, now, &actions);
+    CarryOut(actions, now);
+    ++request.answered;
+    if (now > request.deadline) {
+      request.has_failed = true;
+    } else if (request.answered < kCalls) {
+      Offer(index, now + milliseconds(1));
+    } else {
+      ++m_served.at(request.rank_index);
+    }
+  }
+
+  const std::array<double, 2> m_rates;
+  std::unique_ptr<Admission> m_admission;
+  std::mt19937_64 m_random{5};
+  std::multimap<TimePoint, std::function<void(TimePoint)>> m_events;
+  std::vector<Request> m_requests;
+  std::map<WorkId, size_t> m_calls;
+  std::array<Duration, 2> m_next{};
+  std::array<int, 2> m_made{};
+  std::array<int, 2> m_served{};
+  WorkId m_last_id = 0;
+};
+
+// Calls that wait for one slot, and the order in which they get it.
+BOOST_AUTO_TEST_CASE(CallsUnderWayGoBeforeThoseThatBegin) {
+  const TimePoint now{seconds(1000)};
+  Findings findings;
+  const auto admission = Admission::Builder()
+                             .SetSlots(1)
+                             .SetPolicy(AdmissionPolicy::kRanked)
+                             .Build(now, &findings);
+  struct Case {
+    uint32_t rank;
+    uint32_t shed_hash;
+    bool is_nested;
+    bool is_continuation;
+  };
+  // By the place in which they are expected; the first one holds the slot.
+  const std::vector<Case> cases = {
+      {2, 9, false, false}, {0, 9, false, false}, {3, 9, true, true},
+      {1, 5, true, false},  {1, 6, true, false},  {1, 1, false, false},
+      {2, 1, true, false},
+  };
+  const auto offer = [&](size_t i) {
+    relay::Call call;
+    call.set_rank(cases[i].rank);
+    call.set_shed_hash(cases[i].shed_hash);
+    call.set_is_nested(cases[i].is_nested);
+    call.set_is_continuation(cases[i].is_continuation);
+    call.set_time_left_us(5'000'000);
+    call.set_route("route");
+    AdmissionActions actions;
+    admission->Offer(WorkFor(call, i, now), now, &actions);
+  };
+  offer(0);
+  for (size_t i = cases.size() - 1; i > 0; --i) offer(i);
+  for (size_t i = 0; i + 1 < cases.size(); ++i) {
+    AdmissionActions actions;
+    admission->OnFinished(i, {BackendOutcome::kOk, {}}, now, &actions);
+    BOOST_TEST_REQUIRE(actions.size() == 1U);
+    BOOST_TEST(std::get<Dispatch>(actions[0]).id == i + 1);
+  }
+}
+
+// The more important rank alone takes all that the service has, or nearly. The
+// target for work done in vain is 5%.
+BOOST_AUTO_TEST_CASE(CallsOfRequestsUnderWayAreNotOvertaken) {
+  const double capacity =
+      ChainedLoad::kSlots /
+      std::chrono::duration<double>(ChainedLoad::kMeanTime).count() /
+      ChainedLoad::kCalls;
+  for (const double part : {0.85, 1.3}) {
+    BOOST_TEST_CONTEXT("rank 1 takes " << part) {
+      const auto result = ChainedLoad({part * capacity, 0.4 * capacity}).Run();
+      BOOST_TEST_MESSAGE("served " << result.served[0] << ", "
+                                   << result.served[1] << ", wasted "
+                                   << result.wasted);
+      BOOST_TEST(result.wasted <= 0.05);
+      BOOST_TEST(result.served[0] > 0.9 * std::min(1.0, 1 / part));
+      BOOST_TEST(result.served[0] > result.served[1]);
+    }
+  }
+}
+
 // Retries in the order of arrival go to requests that fail at their next call.
 // An eighth more whole requests is the least that makes an order worth having.
 BOOST_AUTO_TEST_CASE(RetriesFinishWholeRequestsInABrownOut) {
