Tests: Wait until a stopped node has stopped

paused_callee_test (KNOWN-RED.txt) is traced. SIGSTOP takes effect when each of the node's threads is scheduled: 12 to 24 ms there, in which the node received and dispatched the call.

--- a/Tests/process_fleet.cc
+++ b/Tests/process_fleet.cc
@@ -6,6 +6,8 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <boost/test/unit_test.hpp>
+#include <chrono>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
@@ -142,7 +144,16 @@
 }
 
 void ProcessFleet::SignalNode(size_t index, int signal) {
-  kill(m_servers[index].node, signal);
+  const pid_t node = m_servers[index].node;
+  kill(node, signal);
+  if (signal != SIGSTOP) return;
+  // The node's threads go on until each of them is scheduled and stops.
+  const auto sent = std::chrono::steady_clock::now();
+  siginfo_t stopped;
+  BOOST_TEST_REQUIRE(waitid(P_PID, node, &stopped, WSTOPPED) == 0);
+  const std::chrono::duration<double, std::milli> took =
+      std::chrono::steady_clock::now() - sent;
+  BOOST_TEST_MESSAGE("stopped after " << took.count() << " ms");
 }
 
 int ProcessFleet::WaitForNodeExit(size_t index, std::chrono::seconds timeout) {
