Relay: Notice by what peers know that a node no longer hears of changes

Cause of a hole found on the way: a watch that stands but gets nothing is noticed after 21.5 s only, and news of a peer that arrives between two watches left the configuration unread until the next change. Change: answers carry what their sender knows of the platform's values, when that changed; a node that is behind for a second asks the peer and reads all again. Test: NoticesADeafWatch (failed without it: nothing for 10 s).

--- a/Source/relay/fleet_news.h
+++ b/Source/relay/fleet_news.h
@@ -6,6 +6,12 @@
 
 namespace vanillatiller {
 
+// `view` holds something newer than `other`.
+inline bool IsNewer(const relay::View& view, const relay::View& other) {
+  return view.directory_revision() > other.directory_revision() ||
+         view.config_version() > other.config_version();
+}
+
 // What this node knows of the platform's values, as nodes tell it each other.
 // A node that cannot read the platform, or has just started, takes it from
 // others, so that it goes on with what the fleet knows.
@@ -21,11 +27,7 @@
                              TimePoint now) = 0;
 
   // `view` holds something newer than what this node knows.
-  bool IsBehind(const relay::View& view) const {
-    const relay::View own = View();
-    return view.directory_revision() > own.directory_revision() ||
-           view.config_version() > own.config_version();
-  }
+  bool IsBehind(const relay::View& view) const { return IsNewer(view, View()); }
 };
 
 }  // namespace vanillatiller
--- a/Source/relay/peer_client.cc
+++ b/Source/relay/peer_client.cc
@@ -130,6 +130,7 @@
 
 void PeerClient::HandleAnswer(const relay::Answer& answer, TimePoint now) {
   m_receipts.push_back(answer.id());
+  if (answer.has_view()) m_events.on_view(answer.view(), now);
   const auto found = m_waiting.find(answer.id());
   if (found == m_waiting.end()) return;
   const Done done = std::move(found->second.done);
--- a/Source/relay/peer_client.h
+++ b/Source/relay/peer_client.h
@@ -28,6 +28,8 @@
   struct Events {
     // What to say first on a new connection.
     std::function<relay::Hello()> make_hello;
+    // The peer told what it knows of the platform's values.
+    std::function<void(const relay::View&, TimePoint now)> on_view;
     // The peer told its load.
     std::function<void(const PeerLoad&, TimePoint now)> on_load;
     // A frame that is not about calls, or the peer's Hello.
--- a/Source/relay/peer_server.cc
+++ b/Source/relay/peer_server.cc
@@ -206,6 +206,12 @@
   relay::Frame frame;
   *frame.mutable_answer() = EncodeAnswer(key.id, result);
   *frame.mutable_answer()->mutable_load() = EncodeLoad(m_handler->Load());
+  const relay::View view = m_handler->View();
+  if (view.directory_revision() != caller.told_view.directory_revision() ||
+      view.config_version() != caller.told_view.config_version()) {
+    caller.told_view = view;
+    *frame.mutable_answer()->mutable_view() = view;
+  }
   std::string text = EncodeFrame(frame);
   if (caller.session) caller.session->Send(text);
   Keep(&caller, key.id, std::move(text));
--- a/Source/relay/peer_server.h
+++ b/Source/relay/peer_server.h
@@ -30,6 +30,8 @@
                           TimePoint now) = 0;
   virtual void OnPeerCancel(const PeerCallKey& key, TimePoint now) = 0;
   virtual PeerLoad Load() const = 0;
+  // What this node knows of the platform's values.
+  virtual relay::View View() const = 0;
   // What to say first on a new connection.
   virtual relay::Hello MakeHello() const = 0;
   // A frame that is not about calls, or a caller's Hello; `reply` takes frames
@@ -66,6 +68,8 @@
     bool was_cancelled = false;
     uint64_t highest_call = 0;
     uint64_t newest_connection = 0;
+    // What it was told last of the platform's values.
+    relay::View told_view;
     // Calls that are queued or run, and answers that were not confirmed.
     std::map<uint64_t, std::string> answers;
     std::map<uint64_t, bool> running;
--- a/Source/relay/relay.cc
+++ b/Source/relay/relay.cc
@@ -148,6 +148,9 @@
   if (client) return *client;
   PeerClient::Events events;
   events.make_hello = [this] { return MakeHello(); };
+  events.on_view = [this, node](const relay::View& view, TimePoint now) {
+    OnPeerView(node, view, now);
+  };
   events.on_load = [this, node](const PeerLoad& load, TimePoint now) {
     for (const Candidate* candidate : m_placement.AtNode(node)) {
       candidate->state->OnReport(load, now);
@@ -234,10 +237,14 @@
   OnNews(frame, reply, now);
 }
 
+relay::View Relay::View() const {
+  return m_news != nullptr ? m_news->View() : relay::View();
+}
+
 relay::Hello Relay::MakeHello() const {
   relay::Hello hello;
   hello.set_incarnation(m_settings.incarnation);
-  if (m_news != nullptr) *hello.mutable_view() = m_news->View();
+  *hello.mutable_view() = View();
   return hello;
 }
 
@@ -258,12 +265,7 @@
     return;
   }
   if (frame.has_snapshot_request()) {
-    const relay::View own = m_news->View();
-    const relay::View& theirs = frame.snapshot_request().view();
-    if (own.directory_revision() <= theirs.directory_revision() &&
-        own.config_version() <= theirs.config_version()) {
-      return;
-    }
+    if (!IsNewer(m_news->View(), frame.snapshot_request().view())) return;
     relay::Frame answer;
     *answer.mutable_snapshot() = m_news->MakeSnapshot();
     reply(answer);
@@ -279,6 +281,25 @@
   m_news->ApplySnapshot(snapshot, now);
 }
 
+void Relay::OnPeerView(const SocketAddress& node, const relay::View& view,
+                       TimePoint now) {
+  if (m_news == nullptr || m_checks_lag || !m_news->IsBehind(view)) return;
+  m_checks_lag = true;
+  m_loop->Schedule(now + kUsualNewsLag, [this, node, view](TimePoint later) {
+    m_checks_lag = false;
+    if (!m_news->IsBehind(view)) return;
+    const relay::View own = View();
+    m_log->Write(LogTopic::kBelief, "behind-peer",
+                 {{"node", node.ToString()},
+                  {"revision", std::to_string(own.directory_revision())},
+                  {"its_revision", std::to_string(view.directory_revision())},
+                  {"config", std::to_string(own.config_version())},
+                  {"its_config", std::to_string(view.config_version())}},
+                 later);
+    ClientFor(node).SendFrame(NewsRequest());
+  });
+}
+
 void Relay::AskForNews(TimePoint now) {
   if (m_news == nullptr || !m_news->IsBlind() || now < m_next_news) return;
   m_next_news = now + kNewsPeriod;
--- a/Source/relay/relay.h
+++ b/Source/relay/relay.h
@@ -87,6 +87,7 @@
                   TimePoint now) override;
   void OnPeerCancel(const PeerCallKey& key, TimePoint now) override;
   PeerLoad Load() const override { return m_executor.Load(); }
+  relay::View View() const override;
   relay::Hello MakeHello() const override;
   void OnPeerFrame(const relay::Frame& frame,
                    const std::function<void(const relay::Frame&)>& reply,
@@ -96,6 +97,9 @@
   void OnNews(const relay::Frame& frame,
               const std::function<void(const relay::Frame&)>& reply,
               TimePoint now);
+  // A peer knows of changes that this node should have heard of by itself.
+  void OnPeerView(const SocketAddress& node, const relay::View& view,
+                  TimePoint now);
   // Asks one peer for news if the platform cannot be read.
   void AskForNews(TimePoint now);
   relay::Frame NewsRequest() const;
@@ -113,6 +117,9 @@
   static constexpr Duration kLongTick = std::chrono::milliseconds(200);
   // Period of questions for news while the platform cannot be read.
   static constexpr Duration kNewsPeriod = std::chrono::milliseconds(600);
+  // Time by which nodes hear of a change at different moments: changes are
+  // gathered for half a second, and a slow platform takes a quarter.
+  static constexpr Duration kUsualNewsLag = std::chrono::milliseconds(1000);
   // After Stop(), time during which callers that do not know it yet are served
   // like before: two status checks, a second apart, and their delays.
   static constexpr Duration kStopNotice = std::chrono::milliseconds(2500);
@@ -137,6 +144,8 @@
   HttpServerLimits m_caller_limits;
   FleetNews* m_news = nullptr;
   TimePoint m_next_news;
+  // A check whether this node is behind a peer is scheduled.
+  bool m_checks_lag = false;
   // Peer that was asked last.
   SocketAddress m_news_peer;
   bool m_has_servers = false;
--- a/Tests/platform/platform_test.cc
+++ b/Tests/platform/platform_test.cc
@@ -293,6 +293,45 @@
   BOOST_TEST(RunUntil(&pair.loop, [&] { return ConfigVersionInForce() == 9; }));
 }
 
+// A watch stands, but what is written no longer reaches it. Another node heard
+// of the change and says so with an answer; all is read again long before the
+// watch ends by itself.
+BOOST_FIXTURE_TEST_CASE(NoticesADeafWatch, StoreFixture) {
+  struct Peer : FleetNews {
+    bool IsBlind() const override { return false; }
+    relay::View View() const override { return view; }
+    relay::Snapshot MakeSnapshot() const override {
+      relay::Snapshot snapshot;
+      snapshot.set_directory_revision(view.directory_revision());
+      return snapshot;
+    }
+    void ApplySnapshot(const relay::Snapshot&, TimePoint) override {}
+    relay::View view;
+  };
+  const std::string list =
+      R"({"items":[],"more_pages":false,"current_rev":10})";
+  store.script = {
+      {"/-/kv-range", {{200, list}, {200, list}}},
+      {"/-/kv-key",
+       {{404, ""}, {200, Item("op/config", ConfigVersion(9), 12)}}},
+  };
+  Peer peer;
+  pair.back->SetNews(&peer);
+  pair.front->SetNews(&client);
+  client.Start(BootClock::now());
+  BOOST_TEST_REQUIRE(RunUntil(&pair.loop, [&] { return HasWatched(10); }));
+  // The list that was read names no server.
+  pair.AddServer("server-2", 11);
+  peer.view.set_directory_revision(12);
+  peer.view.set_config_version(9);
+  const auto call = pair.Send("/ok", "r1");
+  BOOST_TEST_REQUIRE(RunUntil(&pair.loop, [&] { return call->is_over; }));
+  const TimePoint heard = BootClock::now();
+  BOOST_TEST(RunUntil(&pair.loop, [&] { return ConfigVersionInForce() == 9; }));
+  // Versions are to be in force within 2.5 s.
+  BOOST_TEST((BootClock::now() - heard < milliseconds(2500)));
+}
+
 BOOST_FIXTURE_TEST_CASE(ReadsAllPages, StoreFixture) {
   store.script = {
       {"/-/kv-range?prefix=servers/&after=servers/i-1",
--- a/Tests/relay_harness.cc
+++ b/Tests/relay_harness.cc
@@ -276,13 +276,13 @@
   return relay;
 }
 
-void RelayPair::AddServer(const std::string& id) {
+void RelayPair::AddServer(const std::string& id, uint64_t revision) {
   ServerRecord record;
   record.id = id;
   record.service = "work";
   record.address = {kDisturbed, FreeLoopbackPort()};
   record.slots = 2;
-  record.revision = 2;
+  record.revision = revision;
   front->ApplyServer(record, BootClock::now());
 }
 
--- a/Tests/relay_harness.h
+++ b/Tests/relay_harness.h
@@ -102,7 +102,7 @@
   std::shared_ptr<FakeCall> SendFromServer(const std::string& path,
                                            const std::string& id);
   // Lists another server, which the back node reaches like the first.
-  void AddServer(const std::string& id);
+  void AddServer(const std::string& id, uint64_t revision = 2);
   // Ends the back node without notice and starts it anew.
   void RestartBack();
   int ReadinessOf(const SocketAddress& health);
