Relay: Let early requests wait for routes and servers instead of refusing them

Cause: a node answers 503 until it has read the configuration, 0.1 to 0.3 s. Ruled out: the store (answers in 5 ms), the cold servers. Change: such requests wait up to 1 s or a quarter of their time; then 503 with Retry-After. Test: RequestsWaitForTheFirstRoutes (new behaviour; refused at once before).

--- a/Source/relay/relay.cc
+++ b/Source/relay/relay.cc
@@ -98,6 +98,7 @@
   m_caller_limits.header_timeout = config.limits.header_timeout;
   m_caller_limits.idle_timeout = config.limits.idle_timeout;
   m_origin.SetRoutes(std::make_shared<const RouteTable>(config));
+  if (m_has_servers) m_origin.StartServing(now);
 }
 
 void Relay::ApplyServer(const ServerRecord& record, TimePoint now) {
@@ -115,6 +116,7 @@
   if (m_directory.ApplyList(list, revision, now) > 0 || is_first) {
     OnServersChanged(now);
   }
+  if (is_first && m_origin.config_version() != 0) m_origin.StartServing(now);
 }
 
 void Relay::OnPlatformRestored(TimePoint now) {
--- a/Source/relay/request_origin.cc
+++ b/Source/relay/request_origin.cc
@@ -18,6 +18,13 @@
 constexpr int kFirstServerError = 500;
 // Time in which a process that ends is usually replaced.
 constexpr Duration kRestartTime = std::chrono::milliseconds(1500);
+// Longest time for which a request waits for routes and servers: two tries to
+// read them, the first of which fails.
+constexpr Duration kMaxEarlyWait = std::chrono::milliseconds(1000);
+// Part of the time left that a request may wait for them.
+constexpr int kPartOfTimeForEarlyWait = 4;
+// Time left of a request that does not say it.
+constexpr Duration kDefaultTimeLeft = std::chrono::seconds(30);
 // Least time that is worth sending a request out again for.
 constexpr Duration kLeastTimeForRetry = std::chrono::milliseconds(50);
 
@@ -84,6 +91,49 @@
 
 void RequestOrigin::OnRequest(const std::shared_ptr<HttpServerSession>& session,
                               HttpRequest http, TimePoint now) {
+  if (!m_is_serving && !m_leaving && m_early.size() < kMaxEarlyRequests) {
+    HoldEarly(session, std::move(http), now);
+    return;
+  }
+  Begin(session, std::move(http), now, now);
+}
+
+void RequestOrigin::HoldEarly(const std::shared_ptr<HttpServerSession>& session,
+                              HttpRequest http, TimePoint now) {
+  const Duration wait =
+      std::min(kMaxEarlyWait,
+               TimeLeft(http, kDefaultTimeLeft) / kPartOfTimeForEarlyWait);
+  EarlyRequest& early = m_early[session.get()];
+  early.session = session;
+  early.http = std::move(http);
+  early.received = now;
+  early.timer = m_loop->Schedule(
+      now + wait, [this, key = session.get()](TimePoint later) {
+        const auto late = m_early.extract(key);
+        if (late.empty()) return;
+        const EarlyRequest& request = late.mapped();
+        Begin(request.session, request.http, request.received, later);
+      });
+}
+
+void RequestOrigin::StartServing(TimePoint now) {
+  m_is_serving = true;
+  for (auto& [key, early] : std::exchange(m_early, {})) {
+    m_loop->Cancel(&early.timer);
+    Begin(early.session, std::move(early.http), early.received, now);
+  }
+}
+
+Duration RequestOrigin::TimeLeft(const HttpRequest& http,
+                                 Duration otherwise) const {
+  uint64_t left_ms = 0;
+  const auto left = http.headers.Find(m_names->time_left_ms);
+  const bool has_left = left && absl::SimpleAtoi(std::string(*left), &left_ms);
+  return has_left ? std::chrono::milliseconds(left_ms) : otherwise;
+}
+
+void RequestOrigin::Begin(const std::shared_ptr<HttpServerSession>& session,
+                          HttpRequest http, TimePoint received, TimePoint now) {
   std::shared_ptr<ActiveRoute> route;
   if (m_routes) {
     route = m_routes->Find(http.headers.Find(m_names->authority).value_or(""),
@@ -98,13 +148,10 @@
   request->id = http.headers.Find(m_names->request_id).value_or("");
   request->route = route;
   request->service = route->NextService();
-  request->received = now;
-  uint64_t left_ms = 0;
-  const auto left = http.headers.Find(m_names->time_left_ms);
-  const bool has_left = left && absl::SimpleAtoi(std::string(*left), &left_ms);
-  request->deadline = now + (has_left ? std::chrono::milliseconds(left_ms)
-                                      : route->route().timeout);
-  request->give_up = std::min(request->deadline, now + route->route().timeout);
+  request->received = received;
+  request->deadline = received + TimeLeft(http, route->route().timeout);
+  request->give_up =
+      std::min(request->deadline, received + route->route().timeout);
   request->rank = route->route().rank;
   request->shed_hash = static_cast<uint32_t>(HashBytes(request->id));
   if (const auto parent = m_executor->FindParent(request->id)) {
@@ -334,6 +381,12 @@
 
 void RequestOrigin::OnCallerGone(
     const std::shared_ptr<HttpServerSession>& session, TimePoint now) {
+  if (const auto early = m_early.extract(session.get())) {
+    TimerId timer = early.mapped().timer;
+    m_loop->Cancel(&timer);
+    ++m_metrics->callers_gone;
+    return;
+  }
   const auto found = m_requests.find(session.get());
   if (found == m_requests.end()) return;
   const RequestPtr request = found->second;
@@ -355,16 +408,20 @@
 
 void RequestOrigin::Refuse(const RequestPtr& request, RefusalCode code,
                            Duration wait, TimePoint now) {
-  boost::random::uniform_01<double> draw;
   if (wait == Duration::max()) wait = Duration::zero();
-  const Duration after =
-      RetryAfter(wait, request->deadline - now, draw(m_random));
   HttpResponse response;
   response.status = kUnavailable;
-  response.headers.Add(
+  AddRetryAfter(&response, wait, request->deadline - now);
+  Answer(request, response, "refused", code, now);
+}
+
+void RequestOrigin::AddRetryAfter(HttpResponse* response, Duration wait,
+                                  Duration time_left) {
+  boost::random::uniform_01<double> draw;
+  const Duration after = RetryAfter(wait, time_left, draw(m_random));
+  response->headers.Add(
       m_names->retry_after,
       absl::StrFormat("%.3f", std::chrono::duration<double>(after).count()));
-  Answer(request, response, "refused", code, now);
 }
 
 void RequestOrigin::Fail(const RequestPtr& request, int status,
@@ -410,6 +467,9 @@
     const HttpRequest& request, TimePoint now) {
   HttpResponse response;
   response.status = m_routes ? kNotFound : kUnavailable;
+  if (!m_routes) {
+    AddRetryAfter(&response, kRestartTime, TimeLeft(request, kDefaultTimeLeft));
+  }
   ++m_metrics->answers[response.status];
   m_log->Write(
       LogTopic::kRequest, "unrouted",
--- a/Source/relay/request_origin.h
+++ b/Source/relay/request_origin.h
@@ -48,10 +48,12 @@
   void SetRoutes(std::shared_ptr<const RouteTable> routes) {
     m_routes = std::move(routes);
   }
+  // Routes and servers are known: requests that waited for them go on.
+  void StartServing(TimePoint now);
   // New requests are refused: the process ends before they could be answered.
   // Callers' connections close after their next answer.
   void Leave() { m_leaving = true; }
-  bool IsIdle() const { return m_requests.empty(); }
+  bool IsIdle() const { return m_requests.empty() && m_early.empty(); }
   uint64_t config_version() const { return m_routes ? m_routes->version() : 0; }
 
   void OnRequest(const std::shared_ptr<HttpServerSession>& session,
@@ -63,6 +65,23 @@
   struct Request;
   using RequestPtr = std::shared_ptr<Request>;
 
+  // A request that came before routes and servers were known.
+  struct EarlyRequest {
+    std::shared_ptr<HttpServerSession> session;
+    HttpRequest http;
+    TimePoint received;
+    TimerId timer = 0;
+  };
+
+  // Load pattern: all nodes are started anew at once under full load. A node
+  // knows routes and servers a fraction of a second later, so what arrives
+  // before waits for them; refused callers would return before there are any.
+  void HoldEarly(const std::shared_ptr<HttpServerSession>& session,
+                 HttpRequest http, TimePoint now);
+  // Finds the route of a request and serves it.
+  void Begin(const std::shared_ptr<HttpServerSession>& session,
+             HttpRequest http, TimePoint received, TimePoint now);
+  Duration TimeLeft(const HttpRequest& http, Duration otherwise) const;
   void Place(const RequestPtr& request, TimePoint now);
   relay::Call CallFor(const Request& request, const Candidate& server,
                       TimePoint now);
@@ -83,6 +102,8 @@
   void OnTimeout(const RequestPtr& request, TimePoint now);
   void Refuse(const RequestPtr& request, RefusalCode code, Duration wait,
               TimePoint now);
+  // Tells a refused caller when to return.
+  void AddRetryAfter(HttpResponse* response, Duration wait, Duration time_left);
   void Fail(const RequestPtr& request, int status, RefusalCode code,
             TimePoint now);
   void Answer(const RequestPtr& request, const HttpResponse& response,
@@ -94,6 +115,8 @@
   // Servers that may be asked for one request without running it: each costs
   // a round trip, and after a few the load is the same everywhere.
   static constexpr size_t kMaxPlacements = 4;
+  // Requests that wait for routes and servers, to bound their memory.
+  static constexpr size_t kMaxEarlyRequests = 256;
 
   EventLoop* m_loop;
   const ProtocolNames* m_names;
@@ -107,6 +130,8 @@
   RelayMetrics* m_metrics;
   Placement::Generator m_random;
   std::shared_ptr<const RouteTable> m_routes;
+  bool m_is_serving = false;
+  std::map<HttpServerSession*, EarlyRequest> m_early;
   bool m_leaving = false;
   uint64_t m_last_call = 0;
   std::map<HttpServerSession*, RequestPtr> m_requests;
--- a/Tests/relay_harness.cc
+++ b/Tests/relay_harness.cc
@@ -253,6 +253,8 @@
   front_settings.retry_budget = {1, 10};
   back = MakeRelay(back_settings);
   front = MakeRelay(front_settings);
+  Instruct(back.get());
+  Instruct(front.get());
 }
 
 RelayPair::~RelayPair() = default;
@@ -262,6 +264,11 @@
   auto relay = std::make_unique<Relay>(&loop, settings, &log, now);
   std::string reason;
   BOOST_TEST_REQUIRE(relay->Start(&reason), reason);
+  return relay;
+}
+
+void RelayPair::Instruct(Relay* relay) {
+  const TimePoint now = BootClock::now();
   RelayConfig config;
   config.version = 1;
   config.routes = {MakeRoute("/", true), MakeRoute("/once/", false)};
@@ -273,7 +280,14 @@
   record.slots = 2;
   record.revision = 1;
   relay->ApplyServers({record}, 1, now);
-  return relay;
+}
+
+void RelayPair::RestartFront() {
+  front.reset();
+  // Lets the loop close the old listeners.
+  RunFor(&loop, std::chrono::milliseconds(20));
+  ++front_settings.incarnation;
+  front = MakeRelay(front_settings);
 }
 
 void RelayPair::AddServer(const std::string& id, uint64_t revision) {
@@ -292,6 +306,7 @@
   RunFor(&loop, std::chrono::milliseconds(20));
   ++back_settings.incarnation;
   back = MakeRelay(back_settings);
+  Instruct(back.get());
 }
 
 std::shared_ptr<FakeCall> RelayPair::Send(const std::string& path,
--- a/Tests/relay_harness.h
+++ b/Tests/relay_harness.h
@@ -103,6 +103,11 @@
                                            const std::string& id);
   // Lists another server, which the back node reaches like the first.
   void AddServer(const std::string& id, uint64_t revision = 2);
+  // Ends the front node and starts it anew; it knows no routes and servers
+  // until Instruct() is called.
+  void RestartFront();
+  // Gives a relay its routes and servers.
+  void Instruct(Relay* relay);
   // Ends the back node without notice and starts it anew.
   void RestartBack();
   int ReadinessOf(const SocketAddress& health);
--- a/Tests/relay_test.cc
+++ b/Tests/relay_test.cc
@@ -191,6 +191,30 @@
   BOOST_TEST(pair.server.arrivals.size() == 1U);
 }
 
+// A node that has just started has no routes yet. Requests wait for them, but
+// not for long, and their callers may leave.
+BOOST_AUTO_TEST_CASE(RequestsWaitForTheFirstRoutes) {
+  RelayPair pair;
+  pair.RestartFront();
+  const auto served = pair.Send("/ok", "served");
+  const auto gone = pair.Send("/ok", "gone");
+  RunFor(&pair.loop, milliseconds(100));
+  BOOST_TEST(!served->is_over);
+  gone->session->Abort();
+  RunFor(&pair.loop, milliseconds(50));
+  pair.Instruct(pair.front.get());
+  BOOST_TEST_REQUIRE(RunUntil(&pair.loop, [&] { return served->is_over; }));
+  BOOST_TEST(served->result.response.status == 200);
+  BOOST_TEST(pair.server.arrivals.size() == 1U);
+
+  pair.RestartFront();
+  const auto refused = pair.Send("/ok", "refused", milliseconds(800));
+  BOOST_TEST_REQUIRE(RunUntil(&pair.loop, [&] { return refused->is_over; }));
+  BOOST_TEST(refused->result.response.status == 503);
+  BOOST_TEST(HeaderOf(refused->result.response.headers, "Retry-After") !=
+             "(none)");
+}
+
 BOOST_AUTO_TEST_CASE(StopsInOrder) {
   RelayPair pair;
   BOOST_TEST(pair.ReadinessOf(pair.front_settings.health_listener) == 200);
