Relay: Tell refused callers when the queue drains, shorten messages between nodes

Cause: the expected wait in a refusal was never filled in, so Retry-After did not follow the queue; answers between nodes carried the request's identity, which the caller's node knows (70 bytes of about 500 for a nested call), and calls an objective that nobody read. Tests: DrainTimeFollowsTheQueue; CarriesARequestAndItsAnswer checks the identity that the caller gets.

--- a/Source/admission/admission.cc
+++ b/Source/admission/admission.cc
@@ -118,6 +118,8 @@
   uint32_t smallest_queue = 0;
   // Calls that the backend server worked on and that ended in the window.
   uint32_t finished = 0;
+  // Mean time that calls held their slots in the last window with such calls.
+  Duration usual_hold{};
   bool was_limit_reached = false;
   uint32_t nested_offered = 0;
   uint32_t nested_refused = 0;
@@ -170,9 +172,11 @@
     thresholds.OnWindow(report, &flows);
   }
   const double mean_hold = held_seconds / std::max(1U, finished);
-  saturation_limit.OnWindow(smallest_queue > 0, finished, length,
-                            std::chrono::duration_cast<Duration>(
-                                std::chrono::duration<double>(mean_hold)));
+  if (finished > 0) {
+    usual_hold = std::chrono::duration_cast<Duration>(
+        std::chrono::duration<double>(mean_hold));
+  }
+  saturation_limit.OnWindow(smallest_queue > 0, finished, length, usual_hold);
   finished = 0;
   for (ServiceTime& item : flows.ServiceTimes()) {
     item.OnWindow(was_limit_reached);
@@ -499,6 +503,7 @@
   state.in_flight = m_parts->InFlight();
   state.queued = m_parts->queue.size();
   state.limit = m_parts->Limit();
+  state.drain_time = m_parts->usual_hold * state.queued / state.limit;
   state.is_overloaded = m_parts->thresholds.IsOverloaded();
   return state;
 }
--- a/Source/admission/admission.h
+++ b/Source/admission/admission.h
@@ -45,6 +45,8 @@
   uint32_t in_flight = 0;
   uint32_t queued = 0;
   uint32_t limit = 0;
+  // Time in which the calls that wait now get a slot.
+  Duration drain_time{};
   bool is_overloaded = false;
   uint64_t offered = 0;
   uint64_t dispatched = 0;
--- a/Source/relay/call_executor.cc
+++ b/Source/relay/call_executor.cc
@@ -65,7 +65,9 @@
       continue;
     }
     const Refuse& refuse = std::get<Refuse>(action);
-    Finish(refuse.id, Refusal(refuse.code), now);
+    CallResult refusal = Refusal(refuse.code);
+    refusal.expected_wait = m_admission->State().drain_time;
+    Finish(refuse.id, std::move(refusal), now);
   }
 }
 
--- a/Source/relay/request_origin.cc
+++ b/Source/relay/request_origin.cc
@@ -224,8 +224,6 @@
   call.set_body(request.http.body);
   const RelayRoute& route = request.route->route();
   call.set_time_left_us(ToMicroseconds(request.give_up - now));
-  call.set_objective_left_us(
-      ToMicroseconds(request.received + route.objective - now));
   call.set_idempotent(route.idempotent);
   call.set_rank(request.rank);
   call.set_shed_hash(request.shed_hash);
@@ -242,6 +240,8 @@
   Learn(*request, result, now);
   switch (result.outcome) {
     case Outcome::kComplete:
+      // Nodes leave it out between them; see JudgeExchange.
+      result.response.headers.Add(m_names->request_id, request->id);
       if (result.response.status >= kFirstServerError) {
         request->failure = std::move(result.response);
         OnFailed(request, result, now);
--- a/Source/relay/server_answer.cc
+++ b/Source/relay/server_answer.cc
@@ -53,6 +53,8 @@
   result.outcome = Outcome::kComplete;
   result.response = std::move(response);
   result.response.headers.RemoveConnectionFields();
+  // The node of the caller knows it, and bytes between nodes are paid.
+  result.response.headers.Remove(names.request_id);
   return result;
 }
 
--- a/Tests/admission_test.cc
+++ b/Tests/admission_test.cc
@@ -554,6 +554,25 @@
   BOOST_TEST(std::holds_alternative<Dispatch>(actions.at(0)));
 }
 
+// Callers are told to return when the calls that wait now have got a slot.
+BOOST_AUTO_TEST_CASE(DrainTimeFollowsTheQueue) {
+  const auto admission = Build(AdmissionPolicy::kRanked, 2);
+  TimePoint now = kStart;
+  AdmissionActions actions;
+  for (WorkId id = 1; id <= 8; ++id) {
+    admission->Offer(MakeWork(id, 0, 0, now), now, &actions);
+  }
+  BOOST_TEST((admission->State().drain_time == Duration::zero()));
+  now += milliseconds(200);
+  admission->OnFinished(1, {BackendOutcome::kOk, {}}, now, &actions);
+  admission->OnFinished(2, {BackendOutcome::kOk, {}}, now, &actions);
+  now += milliseconds(100);
+  admission->OnTick(now, &actions);
+  BOOST_TEST(admission->State().queued == 4U);
+  BOOST_TEST((admission->State().drain_time >= milliseconds(400)));
+  BOOST_TEST((admission->State().drain_time <= milliseconds(600)));
+}
+
 // Twice what a backend server can take, which slows down when it is nearly
 // full, or does not. Bounds: what 57 of 61 slots, or all of them, can take,
 // less a twentieth for the comparisons.
--- a/Tests/relay_test.cc
+++ b/Tests/relay_test.cc
@@ -25,6 +25,7 @@
   BOOST_TEST(answer.status == 200);
   BOOST_TEST(answer.body == "body-r1");
   BOOST_TEST(HeaderOf(answer.headers, "Test-Digest") == "digest-r1");
+  BOOST_TEST(HeaderOf(answer.headers, "Test-Id") == "r1");
   BOOST_TEST_REQUIRE(pair.server.arrivals.size() == 1U);
   const HttpHeaders& seen = pair.server.arrivals[0].request.headers;
   BOOST_TEST(HeaderOf(seen, "Test-From") == "shop");
