Admission: Take the usual time from the calls that ended

It is now the mean of the calls that ended. admission_test, relay_decisions_test and relay_test pass.

--- a/Source/admission/admission.cc
+++ b/Source/admission/admission.cc
@@ -118,6 +118,7 @@
   uint32_t smallest_queue = 0;
   // Calls that the backend server worked on and that ended in the window.
   uint32_t finished = 0;
+  Duration finished_hold{};
   // Mean time that calls held their slots in the last window with such calls.
   Duration usual_hold{};
   bool was_limit_reached = false;
@@ -148,6 +149,7 @@
     held_seconds = 0;
     smallest_queue = queue.size();
     finished = 0;
+    finished_hold = {};
     was_limit_reached = false;
     return;
   }
@@ -171,13 +173,10 @@
     limit.OnWindow(was_limit_reached, now);
     thresholds.OnWindow(report, &flows);
   }
-  const double mean_hold = held_seconds / std::max(1U, finished);
-  if (finished > 0) {
-    usual_hold = std::chrono::duration_cast<Duration>(
-        std::chrono::duration<double>(mean_hold));
-  }
+  if (finished > 0) usual_hold = finished_hold / finished;
   saturation_limit.OnWindow(smallest_queue > 0, finished, length, usual_hold);
   finished = 0;
+  finished_hold = {};
   for (ServiceTime& item : flows.ServiceTimes()) {
     item.OnWindow(was_limit_reached);
   }
@@ -329,9 +328,10 @@
     limit.OnShed(InFlight() + 1, call.dispatched, now);
     return;
   }
-  ++finished;
   if (call.dispatched < valid_from) return;
   const Duration hold = now - call.dispatched;
+  ++finished;
+  finished_hold += hold;
   ServiceTime& estimate = flows.ServiceTimeOf(flows.At(call.flow));
   if (result.outcome == BackendOutcome::kFailed) {
     estimate.AddAtLeast(hold);
