Admission: Try no fewer slots where one is a tenth or more

Found in the read of the diff: with two slots the comparison would halve a server's work for 0.4 s. Also one line in the log when a node begins to serve, with the number of requests that waited for it.

--- a/Source/admission/saturation_limit.cc
+++ b/Source/admission/saturation_limit.cc
@@ -9,6 +9,8 @@
 
 // Part of the slots below which backend servers are not nearly full.
 constexpr double kNearlyFull = 0.95;
+// With fewer slots than this, one slot is more than can be spared for a trial.
+constexpr uint32_t kFewestSlots = 10;
 // Shortest time over which calls are counted for one comparison.
 constexpr Duration kBlock = std::chrono::milliseconds(400);
 // Time under saturation between comparisons: the first, and the longest after
@@ -21,8 +23,8 @@
 constexpr double kLeastGain = 1.04;
 
 uint32_t BelowNearlyFull(uint32_t slots) {
-  const auto bound = static_cast<uint32_t>(std::ceil(slots * kNearlyFull)) - 1;
-  return std::max(bound, 1U);
+  if (slots < kFewestSlots) return slots;
+  return static_cast<uint32_t>(std::ceil(slots * kNearlyFull)) - 1;
 }
 
 }  // namespace
--- a/Source/relay/request_origin.cc
+++ b/Source/relay/request_origin.cc
@@ -117,7 +117,11 @@
 }
 
 void RequestOrigin::StartServing(TimePoint now) {
-  m_is_serving = true;
+  if (std::exchange(m_is_serving, true)) return;
+  m_log->Write(LogTopic::kBelief, "serving",
+               {{"config", std::to_string(config_version())},
+                {"early_requests", std::to_string(m_early.size())}},
+               now);
   for (auto& [key, early] : std::exchange(m_early, {})) {
     m_loop->Cancel(&early.timer);
     Begin(early.session, std::move(early.http), early.received, now);
--- a/Source/relay/request_origin.h
+++ b/Source/relay/request_origin.h
@@ -48,7 +48,8 @@
   void SetRoutes(std::shared_ptr<const RouteTable> routes) {
     m_routes = std::move(routes);
   }
-  // Routes and servers are known: requests that waited for them go on.
+  // Routes and servers are known: requests that waited for them go on. Later
+  // calls have no effect.
   void StartServing(TimePoint now);
   // New requests are refused: the process ends before they could be answered.
   // Callers' connections close after their next answer.
