Relay: Cancel timers when a relay ends, cut both sides of silenced connections in tests

Cause: FakeNetwork forgot the other side of a silenced connection, which then called a destroyed object. The same test showed that a Relay that ends leaves its timers on the loop; vtadapter does not, as its loop ends first. Change: the harness keeps both sides; Relay, RequestOrigin and CallExecutor cancel their timers; the timer for the next expiry is no longer scheduled twice. Test: NetworkCutsBothSidesOfSilencedConnections (heap-use-after-free before); relay_test passes under the address sanitizer.

--- a/Source/relay/call_executor.cc
+++ b/Source/relay/call_executor.cc
@@ -25,7 +25,12 @@
                     .Build(now, &findings);
 }
 
-CallExecutor::~CallExecutor() = default;
+CallExecutor::~CallExecutor() {
+  for (auto& [handle, local] : m_calls) {
+    m_loop->Cancel(&local.timer);
+    if (local.session) local.session->Abort();
+  }
+}
 
 void CallExecutor::Resize(uint32_t slots) {
   if (slots == 0 || slots == m_slots) return;
--- a/Source/relay/relay.cc
+++ b/Source/relay/relay.cc
@@ -44,7 +44,11 @@
                settings.incarnation),
       m_health(std::make_unique<HealthFront>(this)) {}
 
-Relay::~Relay() = default;
+Relay::~Relay() {
+  for (TimerId* timer : {&m_tick_timer, &m_expiry_timer, &m_lag_timer}) {
+    m_loop->Cancel(timer);
+  }
+}
 
 bool Relay::Start(std::string* reason) {
   struct Front {
@@ -139,9 +143,10 @@
     m_server_id = own->id;
     m_server_started_ms = own->started_ms;
   }
+  m_loop->Cancel(&m_expiry_timer);
   if (const auto next = m_directory.NextExpiry(now)) {
-    m_loop->Schedule(*next,
-                     [this](TimePoint later) { OnServersChanged(later); });
+    m_expiry_timer = m_loop->Schedule(
+        *next, [this](TimePoint later) { OnServersChanged(later); });
   }
 }
 
@@ -285,10 +290,10 @@
 
 void Relay::OnPeerView(const SocketAddress& node, const relay::View& view,
                        TimePoint now) {
-  if (m_news == nullptr || m_checks_lag || !m_news->IsBehind(view)) return;
-  m_checks_lag = true;
-  m_loop->Schedule(now + kUsualNewsLag, [this, node, view](TimePoint later) {
-    m_checks_lag = false;
+  if (m_news == nullptr || m_lag_timer != 0 || !m_news->IsBehind(view)) return;
+  m_lag_timer = m_loop->Schedule(now + kUsualNewsLag, [this, node,
+                                                       view](TimePoint later) {
+    m_lag_timer = 0;
     if (!m_news->IsBehind(view)) return;
     const relay::View own = View();
     m_log->Write(LogTopic::kBelief, "behind-peer",
@@ -323,7 +328,8 @@
     TickSeldom(now);
   }
   const Duration period = m_executor.Load().queued > 0 ? kShortTick : kLongTick;
-  m_loop->Schedule(now + period, [this](TimePoint later) { TickOften(later); });
+  m_tick_timer = m_loop->Schedule(
+      now + period, [this](TimePoint later) { TickOften(later); });
 }
 
 void Relay::TickSeldom(TimePoint now) {
--- a/Source/relay/relay.h
+++ b/Source/relay/relay.h
@@ -144,8 +144,6 @@
   HttpServerLimits m_caller_limits;
   FleetNews* m_news = nullptr;
   TimePoint m_next_news;
-  // A check whether this node is behind a peer is scheduled.
-  bool m_checks_lag = false;
   // Peer that was asked last.
   SocketAddress m_news_peer;
   bool m_has_servers = false;
@@ -155,6 +153,11 @@
   std::function<void()> m_stopped;
   TimePoint m_stop_began;
   TimePoint m_next_long_tick;
+  TimerId m_tick_timer = 0;
+  // The next time at which a server's record expires.
+  TimerId m_expiry_timer = 0;
+  // A check whether this node is behind a peer; 0 if there is none.
+  TimerId m_lag_timer = 0;
 };
 
 }  // namespace vanillatiller
--- a/Source/relay/request_origin.cc
+++ b/Source/relay/request_origin.cc
@@ -87,7 +87,10 @@
       m_metrics(metrics),
       m_random(seed) {}
 
-RequestOrigin::~RequestOrigin() = default;
+RequestOrigin::~RequestOrigin() {
+  for (auto& [key, early] : m_early) m_loop->Cancel(&early.timer);
+  for (const auto& [key, request] : m_requests) m_loop->Cancel(&request->timer);
+}
 
 void RequestOrigin::OnRequest(const std::shared_ptr<HttpServerSession>& session,
                               HttpRequest http, TimePoint now) {
--- a/Tests/relay_harness.cc
+++ b/Tests/relay_harness.cc
@@ -187,7 +187,9 @@
       (*m_other)->Write(std::string(data));
     }
     void OnEnd(ConnectionEnd, TimePoint) override {
-      if (*m_other && !m_pair->m_silent) (*m_other)->CloseWhenSent();
+      // The other side of a silenced connection stays until Cut().
+      if (m_pair->m_silent || !*m_other) return;
+      (*m_other)->CloseWhenSent();
       m_other->reset();
     }
 
--- a/Tests/relay_test.cc
+++ b/Tests/relay_test.cc
@@ -216,6 +216,21 @@
              "(none)");
 }
 
+// Checks the harness itself, with the address sanitizer: one side of a silenced
+// connection ends, the connections are cut, and the other side still sends.
+BOOST_AUTO_TEST_CASE(NetworkCutsBothSidesOfSilencedConnections) {
+  RelayPair pair;
+  const auto call = pair.Send("/once/hold", "r1");
+  BOOST_TEST_REQUIRE(
+      RunUntil(&pair.loop, [&] { return pair.server.held() == 1; }));
+  pair.network.Silence();
+  pair.RestartFront();
+  pair.network.Reset();
+  pair.server.Release(BootClock::now());
+  RunFor(&pair.loop, milliseconds(100));
+  BOOST_TEST(pair.server.arrivals.size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(StopsInOrder) {
   RelayPair pair;
   BOOST_TEST(pair.ReadinessOf(pair.front_settings.health_listener) == 200);
