--- a/Source/admission/admission.cc
+++ b/Source/admission/admission.cc
@@ -82,6 +82,7 @@
 
   void NoteTime(TimePoint now);
   void EndWindow(TimePoint now);
+  void BeginWindow(TimePoint now);
   FlowIndex FlowOf(const Work& work);
   QueuedWork MakeQueued(const Work& work, FlowIndex flow, TimePoint now);
   FlowStanding StandingOf(const Flow& flow) const;
@@ -145,11 +146,7 @@
   last_event = now;
   if (passed > kPause) {
     valid_from = now;
-    window_start = now;
-    held_seconds = 0;
-    smallest_queue = queue.size();
-    finished = 0;
-    finished_hold = {};
+    BeginWindow(now);
     was_limit_reached = false;
     return;
   }
@@ -174,16 +171,22 @@
     thresholds.OnWindow(report, &flows);
   }
   if (finished > 0) usual_hold = finished_hold / finished;
-  saturation_limit.OnWindow(smallest_queue > 0, finished, length, usual_hold);
-  finished = 0;
-  finished_hold = {};
+  if (traits.is_ranked && !traits.is_adaptive) {
+    saturation_limit.OnWindow(smallest_queue > 0, finished, length, usual_hold);
+  }
   for (ServiceTime& item : flows.ServiceTimes()) {
     item.OnWindow(was_limit_reached);
   }
+  BeginWindow(now);
+  was_limit_reached = !queue.empty();
+}
+
+void Admission::Parts::BeginWindow(TimePoint now) {
   window_start = now;
   held_seconds = 0;
   smallest_queue = queue.size();
-  was_limit_reached = !queue.empty();
+  finished = 0;
+  finished_hold = {};
 }
 
 FlowIndex Admission::Parts::FlowOf(const Work& work) {
--- a/Source/admission/admission_policy.h
+++ b/Source/admission/admission_policy.h
@@ -16,8 +16,7 @@
   kNone = 3,
   // The declared slots, or a few less if that serves more, for backend servers
   // that state them truthfully, and a ranked queue. No thresholds: what cannot
-  // be served in time is refused one
-  // by one.
+  // be served in time is refused one by one.
   kRanked = 4,
 };
 
--- a/Source/relay/relay.cc
+++ b/Source/relay/relay.cc
@@ -80,10 +80,12 @@
   return true;
 }
 
-bool Relay::IsReady() const {
-  return m_origin.config_version() != 0 && m_has_servers && !m_stopped;
+bool Relay::IsInstructed() const {
+  return m_origin.config_version() != 0 && m_has_servers;
 }
 
+bool Relay::IsReady() const { return IsInstructed() && !m_stopped; }
+
 void Relay::AcceptCaller(std::shared_ptr<TcpConnection> connection,
                          TimePoint now) {
   m_caller_sessions.push_back(HttpServerSession::Start(
@@ -102,7 +104,7 @@
   m_caller_limits.header_timeout = config.limits.header_timeout;
   m_caller_limits.idle_timeout = config.limits.idle_timeout;
   m_origin.SetRoutes(std::make_shared<const RouteTable>(config));
-  if (m_has_servers) m_origin.StartServing(now);
+  if (IsInstructed()) m_origin.StartServing(now);
 }
 
 void Relay::ApplyServer(const ServerRecord& record, TimePoint now) {
@@ -120,7 +122,7 @@
   if (m_directory.ApplyList(list, revision, now) > 0 || is_first) {
     OnServersChanged(now);
   }
-  if (is_first && m_origin.config_version() != 0) m_origin.StartServing(now);
+  if (IsInstructed()) m_origin.StartServing(now);
 }
 
 void Relay::OnPlatformRestored(TimePoint now) {
--- a/Source/relay/relay.h
+++ b/Source/relay/relay.h
@@ -109,6 +109,8 @@
   void TickSeldom(TimePoint now);
   void ContinueStop(TimePoint now);
   void AcceptCaller(std::shared_ptr<TcpConnection> connection, TimePoint now);
+  // Routes and servers are known.
+  bool IsInstructed() const;
   bool IsReady() const;
 
   // Period of the executor's tick while calls wait for a slot.
--- a/Source/relay/request_origin.cc
+++ b/Source/relay/request_origin.cc
@@ -110,13 +110,13 @@
   early.session = session;
   early.http = std::move(http);
   early.received = now;
-  early.timer = m_loop->Schedule(
-      now + wait, [this, key = session.get()](TimePoint later) {
-        const auto late = m_early.extract(key);
-        if (late.empty()) return;
-        const EarlyRequest& request = late.mapped();
-        Begin(request.session, request.http, request.received, later);
-      });
+  early.timer = m_loop->Schedule(now + wait, [this, key = session.get()](
+                                                 TimePoint later) {
+    auto late = m_early.extract(key);
+    if (late.empty()) return;
+    EarlyRequest& request = late.mapped();
+    Begin(request.session, std::move(request.http), request.received, later);
+  });
 }
 
 void RequestOrigin::StartServing(TimePoint now) {
@@ -281,11 +281,9 @@
   const bool was_served = result.outcome == Outcome::kComplete &&
                           result.response.status < kFirstServerError;
   if (was_served) {
-    const std::string& route = request.route->route().name;
-    const double relative_time =
-        m_usual_calls.RelateTime(route, now - request.placed);
-    m_usual_calls.AddSize(
-        route, request.http.body.size() + result.response.body.size());
+    const double relative_time = m_usual_calls.Add(
+        request.route->route().name, now - request.placed,
+        request.http.body.size() + result.response.body.size());
     request.quality->OnSuccess(relative_time, now);
     return;
   }
@@ -388,9 +386,8 @@
 
 void RequestOrigin::OnCallerGone(
     const std::shared_ptr<HttpServerSession>& session, TimePoint now) {
-  if (const auto early = m_early.extract(session.get())) {
-    TimerId timer = early.mapped().timer;
-    m_loop->Cancel(&timer);
+  if (auto early = m_early.extract(session.get())) {
+    m_loop->Cancel(&early.mapped().timer);
     ++m_metrics->callers_gone;
     return;
   }
--- a/Source/relay/usual_calls.cc
+++ b/Source/relay/usual_calls.cc
@@ -7,35 +7,26 @@
 constexpr double kSampleWeight = 0.02;
 constexpr double kBytesInKilobyte = 1000;
 
-// Adds a value to a route's mean. Returns the mean before, or the value if it
-// is the first.
-double AddSample(std::map<std::string, double, std::less<>>* means,
-                 std::string_view route, double value) {
-  const auto found = means->find(route);
-  if (found == means->end()) {
-    means->emplace(route, value);
-    return value;
-  }
-  const double before = found->second;
-  found->second += kSampleWeight * (value - before);
-  return before;
-}
-
 }  // namespace
 
-double UsualCalls::RelateTime(std::string_view route, Duration time) {
+double UsualCalls::Add(std::string_view route, Duration time, size_t bytes) {
   const double seconds = std::chrono::duration<double>(time).count();
-  const double usual = AddSample(&m_seconds, route, seconds);
+  const double kilobytes = static_cast<double>(bytes) / kBytesInKilobyte;
+  const auto found = m_routes.find(route);
+  if (found == m_routes.end()) {
+    m_routes.emplace(route, Means{seconds, kilobytes});
+    return 1;
+  }
+  Means& means = found->second;
+  const double usual = means.seconds;
+  means.seconds += kSampleWeight * (seconds - usual);
+  means.kilobytes += kSampleWeight * (kilobytes - means.kilobytes);
   return usual > 0 ? seconds / usual : 1;
 }
 
-void UsualCalls::AddSize(std::string_view route, size_t bytes) {
-  AddSample(&m_kilobytes, route, static_cast<double>(bytes) / kBytesInKilobyte);
-}
-
 double UsualCalls::Kilobytes(std::string_view route) const {
-  const auto found = m_kilobytes.find(route);
-  return found == m_kilobytes.end() ? 0 : found->second;
+  const auto found = m_routes.find(route);
+  return found == m_routes.end() ? 0 : found->second.kilobytes;
 }
 
 }  // namespace vanillatiller
--- a/Source/relay/usual_calls.h
+++ b/Source/relay/usual_calls.h
@@ -13,16 +13,19 @@
 // Usual time and size of the calls of each route, over all servers.
 class UsualCalls {
  public:
-  // Notes one call's time and returns it relative to the usual time before.
-  double RelateTime(std::string_view route, Duration time);
-  // Notes the bytes of one call, request and answer.
-  void AddSize(std::string_view route, size_t bytes);
+  // Notes one call's time and its bytes, request and answer. Returns the time
+  // relative to the usual time before.
+  double Add(std::string_view route, Duration time, size_t bytes);
   // Mean kilobytes of a call; 0 before the first.
   double Kilobytes(std::string_view route) const;
 
  private:
-  std::map<std::string, double, std::less<>> m_seconds;
-  std::map<std::string, double, std::less<>> m_kilobytes;
+  struct Means {
+    double seconds = 0;
+    double kilobytes = 0;
+  };
+
+  std::map<std::string, Means, std::less<>> m_routes;
 };
 
 }  // namespace vanillatiller
--- a/Source/retry/window_budget.cc
+++ b/Source/retry/window_budget.cc
@@ -92,8 +92,7 @@
   const bool is_short =
       m_tokens < capacity - 1 && m_tokens < standing * capacity;
   if (m_tokens < 1 || is_short || !KeepsBound()) return false;
-  m_tokens -= 1;
-  ++Newest().repeats;
+  RecordRepeat(now);
   return true;
 }
 
--- a/Utilities/lint.sh
+++ b/Utilities/lint.sh
@@ -31,7 +31,7 @@
     NR == FNR { changed[$0] = 1; next }
     /^[^ ]/ { source = ""; next }
     NF == 1 {
-      sub(".*" root, "", $1); sub(/^ */, "", $1)
+      sub(".*" root, "", $1)
       if (source == "") source = $1
       if ($1 in changed) print source
     }' "$build/lint-changed" - | sort -u >"$build/lint-affected"
