Eventio: Run pipelined idempotent requests concurrently

Cause: HttpServerSession started a request only after the response to the one before it. Change: ResponseOrder decides which requests of a connection run together and in which order responses are sent. The response to the last started request closes the connection; requests behind it do not run. When the caller leaves, all of its requests are cancelled. A body of which nothing arrives ends with 408 after the idle timeout; it was held for good before. Ruled out: answering out of order, and starting non-idempotent requests early: the caller sends what stands behind a closing response again.

--- a/Source/eventio/http_server_session.cc
+++ b/Source/eventio/http_server_session.cc
@@ -2,10 +2,21 @@
 
 #include <utility>
 
-#include "absl/strings/match.h"
-
 namespace vanillatiller {
 
+void HttpResponder::Respond(HttpResponse response, TimePoint now) {
+  // The session must outlive the call, which drops its reference to this.
+  const std::shared_ptr<HttpServerSession> session = m_session;
+  session->Respond(m_id, std::move(response), now);
+}
+
+void HttpResponder::CloseAfterResponse() { m_session->CloseAfterResponse(); }
+
+void HttpResponder::Abort() {
+  const std::shared_ptr<HttpServerSession> session = m_session;
+  session->Abort();
+}
+
 std::shared_ptr<HttpServerSession> HttpServerSession::Start(
     EventLoop* loop, std::shared_ptr<TcpConnection> connection,
     HttpRequestHandler* handler, const HttpServerLimits& limits,
@@ -14,7 +25,7 @@
       new HttpServerSession(loop, std::move(connection), handler, limits));
   session->m_self = session;
   session->m_connection->SetHandler(session.get());
-  session->StartIdleTimer(now);
+  session->UpdateTimer(now);
   return session;
 }
 
@@ -29,91 +40,125 @@
       m_reader(HttpReader::Kind::kRequests, limits.message) {}
 
 void HttpServerSession::OnData(std::string_view data, TimePoint now) {
+  const std::shared_ptr<HttpServerSession> self = shared_from_this();
   m_pending += data;
-  if (m_busy) {
-    if (m_pending.size() > kMaxPipelinedBytes) m_connection->PauseReading();
-    return;
-  }
-  ParsePending(now);
+  ProcessPending(now);
 }
 
-void HttpServerSession::ParsePending(TimePoint now) {
+void HttpServerSession::ProcessPending(TimePoint now) {
+  if (m_is_processing) return;
   const std::shared_ptr<HttpServerSession> self = shared_from_this();
-  if (m_pending.empty() || m_busy || !m_connection) return;
-  const bool was_in_message = m_reader.IsInMessage();
+  m_is_processing = true;
+  while (m_connection && !m_order.IsClosing()) {
+    if (!(m_waiting ? StartWaitingRequest(now) : ReadPending(now))) break;
+  }
+  m_is_processing = false;
+  if (!m_connection) return;
+  if (m_order.IsClosing()) {
+    // These requests count as not received. Reading goes on, so that a
+    // disconnected caller is noticed.
+    m_pending.clear();
+    m_waiting.reset();
+  }
+  UpdateReading();
+  UpdateTimer(now);
+}
+
+bool HttpServerSession::ReadPending(TimePoint now) {
+  if (m_pending.empty()) return false;
   std::string_view data = m_pending;
   const HttpReader::Result result = m_reader.Read(&data);
   m_pending.erase(0, m_pending.size() - data.size());
   switch (result) {
     case HttpReader::Result::kNeedsMore:
-      break;
+      SendContinue();
+      return false;
     case HttpReader::Result::kMessage:
-      DispatchRequest(now);
-      return;
+      SetWaitingRequest(m_reader.Take(), now);
+      return true;
     case HttpReader::Result::kError:
-      RejectRequest(400);
-      return;
+      RejectRequest(400, now);
+      return false;
     case HttpReader::Result::kTooLarge:
-      RejectRequest(m_reader.AreHeadersComplete() ? 413 : 431);
-      return;
+      RejectRequest(m_reader.AreHeadersComplete() ? 413 : 431, now);
+      return false;
   }
-  if (!was_in_message && m_reader.IsInMessage()) StartHeaderTimer(now);
-  if (!m_reader.AreHeadersComplete()) return;
-  m_loop->Cancel(&m_timer);
-  const auto expect = m_reader.Current().headers.Find("expect");
-  if (expect && !m_continue_sent) {
-    m_continue_sent = true;
-    m_connection->Write("HTTP/1.1 100 Continue\r\n\r\n");
+  return false;
+}
+
+void HttpServerSession::SendContinue() {
+  // An interim response must not precede the responses to earlier requests.
+  if (!m_reader.AreHeadersComplete() || m_continue_sent || !m_order.IsEmpty() ||
+      !m_reader.Current().headers.Find("expect")) {
+    return;
   }
+  m_continue_sent = true;
+  m_connection->Write("HTTP/1.1 100 Continue\r\n\r\n");
 }
 
-void HttpServerSession::DispatchRequest(TimePoint now) {
-  m_loop->Cancel(&m_timer);
+void HttpServerSession::SetWaitingRequest(ParsedMessage message,
+                                          TimePoint now) {
+  m_waiting =
+      WaitingRequest{{std::move(message.method), std::move(message.target),
+                      std::move(message.headers), std::move(message.body)},
+                     message.keep_alive,
+                     now};
   m_continue_sent = false;
-  ParsedMessage message = m_reader.Take();
-  m_busy = true;
-  m_keep_alive = message.keep_alive;
-  m_is_head = message.method == "HEAD";
-  m_handler->OnRequest(
-      shared_from_this(),
-      HttpRequest{std::move(message.method), std::move(message.target),
-                  std::move(message.headers), std::move(message.body)},
-      now);
-}
-
-void HttpServerSession::RejectRequest(int status) {
-  m_connection->Write(
-      FormatResponse(HttpResponse{status, {}, {}}, false, true));
-  m_connection->CloseAfterFlush();
-  ReleaseConnection();
+  // The header timeout of the next request starts anew.
+  m_loop->Cancel(&m_timer);
+}
+
+bool HttpServerSession::StartWaitingRequest(TimePoint now) {
+  const bool is_idempotent = m_handler->IsIdempotent(m_waiting->request);
+  if (!m_order.MayStart(is_idempotent)) return false;
+  WaitingRequest waiting = *std::exchange(m_waiting, std::nullopt);
+  const ResponseOrder::RequestId id =
+      m_order.Start(is_idempotent, waiting.request.method == "HEAD");
+  if (!waiting.keep_alive || m_close_after_next) m_order.Close();
+  const auto responder =
+      std::make_shared<HttpResponder>(shared_from_this(), id, waiting.received);
+  m_responders[id] = responder;
+  m_handler->OnRequest(responder, std::move(waiting.request), now);
+  return true;
+}
+
+void HttpServerSession::RejectRequest(int status, TimePoint now) {
+  const ResponseOrder::RequestId id = m_order.Start(false, false);
+  m_order.Close();
+  Respond(id, HttpResponse{status, {}, {}}, now);
 }
 
-void HttpServerSession::Respond(const HttpResponse& response, TimePoint now) {
-  if (!m_busy || !m_connection) return;
+void HttpServerSession::Respond(ResponseOrder::RequestId id,
+                                HttpResponse response, TimePoint now) {
+  m_responders.erase(id);
+  if (!m_connection) return;
   const std::shared_ptr<HttpServerSession> self = shared_from_this();
-  m_busy = false;
-  const bool keep_alive = m_keep_alive && !m_close_after_response;
-  m_connection->Write(FormatResponse(response, keep_alive, !m_is_head));
-  if (!keep_alive) {
+  for (const ResponseOrder::ReadyResponse& ready :
+       m_order.OnResponse(id, std::move(response))) {
+    m_connection->Write(
+        FormatResponse(ready.response, !ready.is_last, !ready.is_head));
+    if (!ready.is_last) continue;
     m_connection->CloseAfterFlush();
     ReleaseConnection();
     return;
   }
-  StartIdleTimer(now);
-  m_connection->ResumeReading();
+  UpdateTimer(now);
   // Deferred, because Respond() may be called from the request handler.
-  if (!m_pending.empty()) {
+  if (!m_is_processing && (m_waiting || !m_pending.empty())) {
     m_loop->Schedule(now,
-                     [self](TimePoint later) { self->ParsePending(later); });
+                     [self](TimePoint later) { self->ProcessPending(later); });
   }
 }
 
 void HttpServerSession::CloseAfterResponse() {
   const std::shared_ptr<HttpServerSession> self = shared_from_this();
-  m_close_after_response = true;
-  if (m_busy || !m_connection || m_reader.IsInMessage() || !m_pending.empty()) {
+  if (!m_connection) return;
+  if (!m_order.IsEmpty()) {
+    m_order.Close();
     return;
   }
+  m_close_after_next = true;
+  if (m_waiting || m_reader.IsInMessage() || !m_pending.empty()) return;
   m_connection->CloseAfterFlush();
   ReleaseConnection();
 }
@@ -127,33 +172,65 @@
 
 void HttpServerSession::OnEnd(ConnectionEnd, TimePoint now) {
   const std::shared_ptr<HttpServerSession> self = shared_from_this();
+  const auto unanswered = std::exchange(m_responders, {});
   ReleaseConnection();
-  if (m_busy) m_handler->OnCallerDisconnected(self, now);
+  for (const auto& [id, responder] : unanswered) {
+    m_handler->OnCallerDisconnected(responder, now);
+  }
 }
 
 void HttpServerSession::ReleaseConnection() {
   m_loop->Cancel(&m_timer);
   m_connection.reset();
   m_pending.clear();
+  m_waiting.reset();
+  m_responders.clear();
   // May destroy this object once the calling function drops its reference.
   m_self.reset();
 }
 
-void HttpServerSession::StartIdleTimer(TimePoint now) {
+void HttpServerSession::UpdateReading() {
+  if (m_pending.size() > kMaxPipelinedBytes) {
+    m_connection->PauseReading();
+  } else {
+    m_connection->ResumeReading();
+  }
+}
+
+HttpServerSession::TimerKind HttpServerSession::NeededTimer() const {
+  if (m_order.IsClosing() || m_waiting) return TimerKind::kNone;
+  if (m_reader.IsInMessage()) {
+    return m_reader.AreHeadersComplete() ? TimerKind::kBody
+                                         : TimerKind::kHeader;
+  }
+  return m_order.IsEmpty() && m_pending.empty() ? TimerKind::kIdle
+                                                : TimerKind::kNone;
+}
+
+void HttpServerSession::UpdateTimer(TimePoint now) {
+  const TimerKind kind = NeededTimer();
+  // The header timeout runs from the first byte, whatever follows.
+  if (kind == TimerKind::kHeader && kind == m_timer_kind && m_timer != 0) {
+    return;
+  }
   m_loop->Cancel(&m_timer);
+  m_timer_kind = kind;
+  if (kind == TimerKind::kNone) return;
+  const Duration timeout = kind == TimerKind::kHeader ? m_limits.header_timeout
+                                                      : m_limits.idle_timeout;
   m_timer = m_loop->Schedule(
-      now + m_limits.idle_timeout,
-      [self = shared_from_this()](TimePoint) { self->CloseAfterResponse(); });
+      now + timeout,
+      [self = shared_from_this()](TimePoint later) { self->OnTimer(later); });
 }
 
-void HttpServerSession::StartHeaderTimer(TimePoint now) {
-  m_loop->Cancel(&m_timer);
-  m_timer = m_loop->Schedule(now + m_limits.header_timeout,
-                             [self = shared_from_this()](TimePoint) {
-                               if (self->m_connection) {
-                                 self->RejectRequest(408);
-                               }
-                             });
+void HttpServerSession::OnTimer(TimePoint now) {
+  m_timer = 0;
+  if (!m_connection) return;
+  if (m_timer_kind == TimerKind::kIdle) {
+    CloseAfterResponse();
+    return;
+  }
+  RejectRequest(408, now);
 }
 
 }  // namespace vanillatiller
--- a/Source/eventio/http_server_session.h
+++ b/Source/eventio/http_server_session.h
@@ -1,40 +1,77 @@
 #ifndef VANILLATILLER_SOURCE_EVENTIO_HTTP_SERVER_SESSION_H_
 #define VANILLATILLER_SOURCE_EVENTIO_HTTP_SERVER_SESSION_H_
 
+#include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
+#include <optional>
 #include <string>
+#include <utility>
 
 #include "eventio/event_loop.h"
 #include "eventio/http_reader.h"
+#include "eventio/response_order.h"
 #include "eventio/tcp_connection.h"
 
 namespace vanillatiller {
 
 class HttpServerSession;
 
+// Answers one request of an HttpServerSession.
+class HttpResponder {
+ public:
+  HttpResponder(std::shared_ptr<HttpServerSession> session,
+                ResponseOrder::RequestId id, TimePoint received)
+      : m_session(std::move(session)), m_id(id), m_received(received) {}
+
+  // When the request had been received completely.
+  TimePoint received() const { return m_received; }
+  // Sends the response once all earlier requests of the connection have been
+  // answered. Only the first call has an effect.
+  void Respond(HttpResponse response, TimePoint now);
+  // See HttpServerSession.
+  void CloseAfterResponse();
+  void Abort();
+
+ private:
+  std::shared_ptr<HttpServerSession> m_session;
+  const ResponseOrder::RequestId m_id;
+  const TimePoint m_received;
+};
+
+using HttpResponderPtr = std::shared_ptr<HttpResponder>;
+
 // Handles the requests received on HTTP connections.
 class HttpRequestHandler {
  public:
   virtual ~HttpRequestHandler() = default;
+  // Whether the request may run concurrently with other idempotent requests of
+  // its connection.
+  virtual bool IsIdempotent(const HttpRequest& request) const {
+    (void)request;
+    return false;
+  }
   // The handler must call Respond(), now or later.
-  virtual void OnRequest(const std::shared_ptr<HttpServerSession>& session,
-                         HttpRequest request, TimePoint now) = 0;
-  // The caller closed its connection before its request was answered.
-  virtual void OnCallerDisconnected(
-      const std::shared_ptr<HttpServerSession>& session, TimePoint now) = 0;
+  virtual void OnRequest(const HttpResponderPtr& responder, HttpRequest request,
+                         TimePoint now) = 0;
+  // The caller closed its connection before this request was answered. Called
+  // for each such request.
+  virtual void OnCallerDisconnected(const HttpResponderPtr& responder,
+                                    TimePoint now) = 0;
 };
 
 struct HttpServerLimits {
   HttpReader::Limits message;
   // Timeout from the first byte of a request to the end of its headers.
   Duration header_timeout = std::chrono::seconds(10);
-  // Timeout for a connection without a request.
+  // Timeout for a connection without a request, and for a request body of which
+  // nothing arrives.
   Duration idle_timeout = std::chrono::seconds(60);
 };
 
-// Server side of one HTTP connection. Requests are dispatched one at a time;
-// pipelined requests are queued.
+// Server side of one HTTP connection. Pipelined requests run concurrently if
+// the handler calls them idempotent; see ResponseOrder.
 class HttpServerSession
     : public std::enable_shared_from_this<HttpServerSession>,
       private TcpHandler {
@@ -44,19 +81,30 @@
       HttpRequestHandler* handler, const HttpServerLimits& limits,
       TimePoint now);
 
-  // Responds to the most recently dispatched request.
-  void Respond(const HttpResponse& response, TimePoint now);
-  // Closes the connection after the current response, or at once if it is idle
-  // and no part of a request has been received.
+  // Starts no further requests and closes the connection after the response to
+  // the last request that has started. An idle connection is closed at once,
+  // unless part of a request has been received; that request is then the last.
   void CloseAfterResponse();
   // Closes the connection without a response.
   void Abort();
 
   bool IsOpen() const { return m_connection != nullptr; }
-  // Whether a dispatched request is awaiting its response.
-  bool IsBusy() const { return m_busy; }
+  // Size of the responses that wait for earlier ones of this connection.
+  size_t HeldBytes() const { return m_order.HeldBytes(); }
 
  private:
+  friend class HttpResponder;
+
+  // A complete request that may not start yet.
+  struct WaitingRequest {
+    HttpRequest request;
+    // Whether the caller keeps the connection open after this request.
+    bool keep_alive = false;
+    TimePoint received;
+  };
+
+  enum class TimerKind : uint8_t { kNone, kIdle, kHeader, kBody };
+
   HttpServerSession(EventLoop* loop, std::shared_ptr<TcpConnection> connection,
                     HttpRequestHandler* handler,
                     const HttpServerLimits& limits);
@@ -65,14 +113,26 @@
   void OnData(std::string_view data, TimePoint now) override;
   void OnEnd(ConnectionEnd end, TimePoint now) override;
 
-  void ParsePending(TimePoint now);
-  void DispatchRequest(TimePoint now);
-  void RejectRequest(int status);
-  void StartIdleTimer(TimePoint now);
-  void StartHeaderTimer(TimePoint now);
+  // Reads and starts requests from the received data until one must wait or the
+  // data is used up.
+  void ProcessPending(TimePoint now);
+  // Each returns false if nothing further can be done now.
+  bool ReadPending(TimePoint now);
+  bool StartWaitingRequest(TimePoint now);
+  void SetWaitingRequest(ParsedMessage message, TimePoint now);
+  void SendContinue();
+  // Answers an unreadable request behind the earlier responses and closes.
+  void RejectRequest(int status, TimePoint now);
+  void Respond(ResponseOrder::RequestId id, HttpResponse response,
+               TimePoint now);
+  void UpdateReading();
+  TimerKind NeededTimer() const;
+  // Arms the timer that fits the state of the connection.
+  void UpdateTimer(TimePoint now);
+  void OnTimer(TimePoint now);
   void ReleaseConnection();
 
-  // Pipelined bytes buffered while a request runs; reading pauses above this.
+  // Unread bytes above which reading from the connection pauses.
   static constexpr size_t kMaxPipelinedBytes = size_t{16} << 10;
 
   EventLoop* m_loop;
@@ -81,12 +141,15 @@
   HttpServerLimits m_limits;
   HttpReader m_reader;
   std::string m_pending;
-  bool m_busy = false;
-  bool m_is_head = false;
-  bool m_keep_alive = true;
-  bool m_close_after_response = false;
+  std::optional<WaitingRequest> m_waiting;
+  ResponseOrder m_order;
+  std::map<ResponseOrder::RequestId, HttpResponderPtr> m_responders;
+  // CloseAfterResponse() was called while part of a request was received.
+  bool m_close_after_next = false;
   bool m_continue_sent = false;
+  bool m_is_processing = false;
   TimerId m_timer = 0;
+  TimerKind m_timer_kind = TimerKind::kNone;
   // Keeps the object alive while the connection is open.
   std::shared_ptr<HttpServerSession> m_self;
 };
--- a/Source/relay/relay.cc
+++ b/Source/relay/relay.cc
@@ -10,8 +10,8 @@
  public:
   explicit HealthHandler(Relay* relay) : m_relay(relay) {}
 
-  void OnRequest(const std::shared_ptr<HttpServerSession>& session,
-                 HttpRequest request, TimePoint now) override {
+  void OnRequest(const HttpResponderPtr& responder, HttpRequest request,
+                 TimePoint now) override {
     HttpResponse response;
     if (request.target == "/metrics") {
       response.status = 200;
@@ -20,11 +20,10 @@
     } else {
       response.status = m_relay->IsReady() ? 200 : 503;
     }
-    session->Respond(response, now);
+    responder->Respond(std::move(response), now);
   }
 
-  void OnCallerDisconnected(const std::shared_ptr<HttpServerSession>&,
-                            TimePoint) override {}
+  void OnCallerDisconnected(const HttpResponderPtr&, TimePoint) override {}
 
  private:
   Relay* m_relay;
@@ -360,6 +359,13 @@
   m_metrics.gauges["concurrency_limit"] = load.concurrency_limit;
   m_metrics.gauges["config_version"] =
       static_cast<double>(m_router.config_version());
+  m_metrics.gauges["unfinished_answer_bytes"] =
+      static_cast<double>(m_executor.UnfinishedAnswerBytes());
+  size_t held_bytes = 0;
+  for (const auto& weak : m_caller_sessions) {
+    if (const auto session = weak.lock()) held_bytes += session->HeldBytes();
+  }
+  m_metrics.gauges["held_response_bytes"] = static_cast<double>(held_bytes);
   m_metrics.gauges["log_lines_lost"] = static_cast<double>(m_log->lost());
   m_log->Flush();
   if (m_stopped) ContinueStop(now);
--- a/Source/relay/request_router.cc
+++ b/Source/relay/request_router.cc
@@ -32,7 +32,7 @@
 
 // State of one request of a caller.
 struct RequestRouter::Request {
-  std::shared_ptr<HttpServerSession> session;
+  HttpResponderPtr responder;
   std::string id;
   HttpRequest http;
   std::shared_ptr<ActiveRoute> route;
@@ -92,32 +92,41 @@
   for (const auto& [key, request] : m_requests) m_loop->Cancel(&request->timer);
 }
 
-void RequestRouter::OnRequest(const std::shared_ptr<HttpServerSession>& session,
+std::shared_ptr<ActiveRoute> RequestRouter::FindRoute(
+    const HttpRequest& http) const {
+  if (!m_routes) return nullptr;
+  return m_routes->Find(http.headers.Find(m_names->authority).value_or(""),
+                        http.target);
+}
+
+bool RequestRouter::IsIdempotent(const HttpRequest& request) const {
+  const auto route = FindRoute(request);
+  return route && route->route().idempotent;
+}
+
+void RequestRouter::OnRequest(const HttpResponderPtr& responder,
                               HttpRequest http, TimePoint now) {
   if (!m_is_serving && !m_draining &&
       m_early_requests.size() < kMaxEarlyRequests) {
-    QueueEarlyRequest(session, std::move(http), now);
+    QueueEarlyRequest(responder, std::move(http), now);
     return;
   }
-  RouteRequest(session, std::move(http), now, now);
+  RouteRequest(responder, std::move(http), now);
 }
 
-void RequestRouter::QueueEarlyRequest(
-    const std::shared_ptr<HttpServerSession>& session, HttpRequest http,
-    TimePoint now) {
+void RequestRouter::QueueEarlyRequest(const HttpResponderPtr& responder,
+                                      HttpRequest http, TimePoint now) {
   const Duration wait = std::min(
       kMaxEarlyWait, TimeLeft(http, kDefaultTimeLeft) / kEarlyWaitDivisor);
-  EarlyRequest& early = m_early_requests[session.get()];
-  early.session = session;
+  EarlyRequest& early = m_early_requests[responder.get()];
+  early.responder = responder;
   early.http = std::move(http);
-  early.received = now;
   early.timer = m_loop->Schedule(
-      now + wait, [this, key = session.get()](TimePoint later) {
+      now + wait, [this, key = responder.get()](TimePoint later) {
         auto late = m_early_requests.extract(key);
         if (late.empty()) return;
         EarlyRequest& request = late.mapped();
-        RouteRequest(request.session, std::move(request.http), request.received,
-                     later);
+        RouteRequest(request.responder, std::move(request.http), later);
       });
 }
 
@@ -129,7 +138,7 @@
                now);
   for (auto& [key, early] : std::exchange(m_early_requests, {})) {
     m_loop->Cancel(&early.timer);
-    RouteRequest(early.session, std::move(early.http), early.received, now);
+    RouteRequest(early.responder, std::move(early.http), now);
   }
 }
 
@@ -137,24 +146,24 @@
                                  Duration default_value) const {
   uint64_t left_ms = 0;
   const auto left = http.headers.Find(m_names->time_left_ms);
-  const bool has_left = left && absl::SimpleAtoi(std::string(*left), &left_ms);
-  return has_left ? std::chrono::milliseconds(left_ms) : default_value;
+  if (!left || !absl::SimpleAtoi(std::string(*left), &left_ms)) {
+    return default_value;
+  }
+  // A larger value would overflow the clock.
+  constexpr uint64_t kMaxLeftMs = uint64_t{24} * 3600 * 1000;
+  return std::chrono::milliseconds(std::min(left_ms, kMaxLeftMs));
 }
 
-void RequestRouter::RouteRequest(
-    const std::shared_ptr<HttpServerSession>& session, HttpRequest http,
-    TimePoint received, TimePoint now) {
-  std::shared_ptr<ActiveRoute> route;
-  if (m_routes) {
-    route = m_routes->Find(http.headers.Find(m_names->authority).value_or(""),
-                           http.target);
-  }
+void RequestRouter::RouteRequest(const HttpResponderPtr& responder,
+                                 HttpRequest http, TimePoint now) {
+  const std::shared_ptr<ActiveRoute> route = FindRoute(http);
   if (!route) {
-    RespondUnrouted(session, http, now);
+    RespondUnrouted(responder, http, now);
     return;
   }
   auto request = std::make_shared<Request>();
-  request->session = session;
+  const TimePoint received = responder->received();
+  request->responder = responder;
   request->id = http.headers.Find(m_names->request_id).value_or("");
   request->route = route;
   request->service = route->NextService();
@@ -181,7 +190,7 @@
   request->timer = m_loop->Schedule(
       request->answer_deadline,
       [this, request](TimePoint later) { OnTimeout(request, later); });
-  m_requests[session.get()] = request;
+  m_requests[responder.get()] = request;
   if (m_draining) {
     Refuse(request, RefusalCode::kLeaving, kRestartTime, now);
     return;
@@ -389,14 +398,14 @@
   Fail(request, kGatewayTimeout, RefusalCode::kDeadlineExceeded, now);
 }
 
-void RequestRouter::OnCallerDisconnected(
-    const std::shared_ptr<HttpServerSession>& session, TimePoint now) {
-  if (auto early = m_early_requests.extract(session.get())) {
+void RequestRouter::OnCallerDisconnected(const HttpResponderPtr& responder,
+                                         TimePoint now) {
+  if (auto early = m_early_requests.extract(responder.get())) {
     m_loop->Cancel(&early.mapped().timer);
     ++m_metrics->callers_gone;
     return;
   }
-  const auto found = m_requests.find(session.get());
+  const auto found = m_requests.find(responder.get());
   if (found == m_requests.end()) return;
   const RequestPtr request = found->second;
   ++m_metrics->callers_gone;
@@ -466,14 +475,13 @@
   if (request->is_nested && (request->overload_below || was_overloaded)) {
     m_executor->OnNestedOverloaded(request->id);
   }
-  if (m_draining) request->session->CloseAfterResponse();
-  request->session->Respond(response, now);
+  if (m_draining) request->responder->CloseAfterResponse();
+  request->responder->Respond(response, now);
   RemoveRequest(request);
 }
 
-void RequestRouter::RespondUnrouted(
-    const std::shared_ptr<HttpServerSession>& session,
-    const HttpRequest& request, TimePoint now) {
+void RequestRouter::RespondUnrouted(const HttpResponderPtr& responder,
+                                    const HttpRequest& request, TimePoint now) {
   HttpResponse response;
   response.status = m_routes ? kNotFound : kUnavailable;
   if (!m_routes) {
@@ -490,12 +498,12 @@
        {"status", std::to_string(response.status)},
        {"config", std::to_string(config_version())}},
       now);
-  session->Respond(response, now);
+  responder->Respond(response, now);
 }
 
 void RequestRouter::RemoveRequest(const RequestPtr& request) {
   m_loop->Cancel(&request->timer);
-  m_requests.erase(request->session.get());
+  m_requests.erase(request->responder.get());
 }
 
 }  // namespace vanillatiller
--- a/Source/relay/request_router.h
+++ b/Source/relay/request_router.h
@@ -57,9 +57,10 @@
   bool IsIdle() const { return m_requests.empty() && m_early_requests.empty(); }
   uint64_t config_version() const { return m_routes ? m_routes->version() : 0; }
 
-  void OnRequest(const std::shared_ptr<HttpServerSession>& session,
-                 HttpRequest request, TimePoint now) override;
-  void OnCallerDisconnected(const std::shared_ptr<HttpServerSession>& session,
+  bool IsIdempotent(const HttpRequest& request) const override;
+  void OnRequest(const HttpResponderPtr& responder, HttpRequest request,
+                 TimePoint now) override;
+  void OnCallerDisconnected(const HttpResponderPtr& responder,
                             TimePoint now) override;
 
  private:
@@ -68,9 +69,8 @@
 
   // A request that arrived before routes and servers were known.
   struct EarlyRequest {
-    std::shared_ptr<HttpServerSession> session;
+    HttpResponderPtr responder;
     HttpRequest http;
-    TimePoint received;
     TimerId timer = 0;
   };
 
@@ -78,11 +78,12 @@
   // learns routes and servers a fraction of a second after it starts, so
   // requests that arrive earlier are queued; if they were refused, callers
   // would retry before the node is ready.
-  void QueueEarlyRequest(const std::shared_ptr<HttpServerSession>& session,
-                         HttpRequest http, TimePoint now);
+  void QueueEarlyRequest(const HttpResponderPtr& responder, HttpRequest http,
+                         TimePoint now);
   // Finds the route of a request and starts its first attempt.
-  void RouteRequest(const std::shared_ptr<HttpServerSession>& session,
-                    HttpRequest http, TimePoint received, TimePoint now);
+  void RouteRequest(const HttpResponderPtr& responder, HttpRequest http,
+                    TimePoint now);
+  std::shared_ptr<ActiveRoute> FindRoute(const HttpRequest& http) const;
   Duration TimeLeft(const HttpRequest& http, Duration default_value) const;
   void SendToServer(const RequestPtr& request, TimePoint now);
   relay::Call MakeCall(const Request& request, const Candidate& server,
@@ -114,7 +115,7 @@
             TimePoint now);
   void Answer(const RequestPtr& request, const HttpResponse& response,
               std::string_view decision, RefusalCode code, TimePoint now);
-  void RespondUnrouted(const std::shared_ptr<HttpServerSession>& session,
+  void RespondUnrouted(const HttpResponderPtr& responder,
                        const HttpRequest& request, TimePoint now);
   void RemoveRequest(const RequestPtr& request);
 
@@ -137,10 +138,10 @@
   Placement::Generator m_random;
   std::shared_ptr<const RouteTable> m_routes;
   bool m_is_serving = false;
-  std::map<HttpServerSession*, EarlyRequest> m_early_requests;
+  std::map<HttpResponder*, EarlyRequest> m_early_requests;
   bool m_draining = false;
   uint64_t m_last_call = 0;
-  std::map<HttpServerSession*, RequestPtr> m_requests;
+  std::map<HttpResponder*, RequestPtr> m_requests;
   std::map<std::string, std::unique_ptr<WindowBudget>> m_budgets;
   CallAverages m_call_averages;
 };
--- a/Tests/platform/adapter_soak.cc
+++ b/Tests/platform/adapter_soak.cc
@@ -103,12 +103,11 @@
   class Server : public HttpRequestHandler {
    public:
     Server(Soak* soak, size_t node) : m_soak(soak), m_node(node) {}
-    void OnRequest(const std::shared_ptr<HttpServerSession>& session,
-                   HttpRequest request, TimePoint now) override {
+    void OnRequest(const HttpResponderPtr& session, HttpRequest request,
+                   TimePoint now) override {
       m_soak->OnServerRequest(m_node, session, request, now);
     }
-    void OnCallerDisconnected(const std::shared_ptr<HttpServerSession>&,
-                              TimePoint) override {}
+    void OnCallerDisconnected(const HttpResponderPtr&, TimePoint) override {}
 
    private:
     Soak* m_soak;
@@ -118,11 +117,11 @@
   class Store : public HttpRequestHandler {
    public:
     explicit Store(Soak* soak) : m_soak(soak) {}
-    void OnRequest(const std::shared_ptr<HttpServerSession>& session,
-                   HttpRequest request, TimePoint now) override {
+    void OnRequest(const HttpResponderPtr& session, HttpRequest request,
+                   TimePoint now) override {
       m_soak->OnStoreRequest(session, request, now);
     }
-    void OnCallerDisconnected(const std::shared_ptr<HttpServerSession>& session,
+    void OnCallerDisconnected(const HttpResponderPtr& session,
                               TimePoint) override {
       m_soak->m_watches.erase(session);
     }
@@ -260,8 +259,8 @@
     }
   }
 
-  void AnswerWatch(const std::shared_ptr<HttpServerSession>& session,
-                   size_t after, TimePoint now) {
+  void AnswerWatch(const HttpResponderPtr& session, size_t after,
+                   TimePoint now) {
     std::string events;
     for (size_t i = after; i < m_history.size(); ++i) {
       events += (events.empty() ? "" : ",") + m_history[i];
@@ -273,7 +272,7 @@
                      now);
   }
 
-  void OnStoreRequest(const std::shared_ptr<HttpServerSession>& session,
+  void OnStoreRequest(const HttpResponderPtr& session,
                       const HttpRequest& request, TimePoint now) {
     if (m_store_is_down) {
       session->Respond({503, {}, ""}, now);
@@ -349,8 +348,7 @@
 
   // Backend servers
 
-  void OnServerRequest(size_t index,
-                       const std::shared_ptr<HttpServerSession>& session,
+  void OnServerRequest(size_t index, const HttpResponderPtr& session,
                        const HttpRequest& request, TimePoint now) {
     const Node& node = m_nodes[index];
     const std::string id(request.headers.Find("Request-Id").value_or(""));
@@ -575,7 +573,7 @@
   uint16_t m_store_port = 0;
   Store m_store{this};
   std::unique_ptr<TcpListener> m_store_listener;
-  std::map<std::shared_ptr<HttpServerSession>, size_t> m_watches;
+  std::map<HttpResponderPtr, size_t> m_watches;
   std::map<std::string, std::string> m_items;
   std::vector<std::string> m_history;
   size_t m_revision = 0;
--- a/Tests/relay_harness.cc
+++ b/Tests/relay_harness.cc
@@ -98,8 +98,8 @@
   BOOST_TEST_REQUIRE((m_listener != nullptr), reason);
 }
 
-void FakeServer::OnRequest(const std::shared_ptr<HttpServerSession>& session,
-                           HttpRequest request, TimePoint now) {
+void FakeServer::OnRequest(const HttpResponderPtr& session, HttpRequest request,
+                           TimePoint now) {
   const std::string id(request.headers.Find("test-id").value_or(""));
   const std::string target = request.target;
   arrivals.push_back({std::move(request), id});
@@ -127,7 +127,7 @@
   }
 }
 
-void FakeServer::AnswerOk(const std::shared_ptr<HttpServerSession>& session,
+void FakeServer::AnswerOk(const HttpResponderPtr& session,
                           const std::string& id, TimePoint now) {
   HttpResponse response;
   response.status = 200;
@@ -137,8 +137,8 @@
   session->Respond(response, now);
 }
 
-void FakeServer::OnCallerDisconnected(
-    const std::shared_ptr<HttpServerSession>& session, TimePoint) {
+void FakeServer::OnCallerDisconnected(const HttpResponderPtr& session,
+                                      TimePoint) {
   disconnected.push_back(m_held[session]);
   m_held.erase(session);
 }
@@ -231,6 +231,46 @@
   for (const auto& forwarding : m_forwardings) forwarding->DropTraffic();
 }
 
+RawClient::RawClient(EventLoop* loop, const SocketAddress& address)
+    : m_connection(TcpConnection::Connect(loop, address, this)) {}
+
+void RawClient::Write(const std::string& text) {
+  if (m_connection && m_connection->IsOpen()) {
+    m_connection->Write(text);
+    return;
+  }
+  m_unsent += text;
+}
+
+void RawClient::Close() {
+  if (m_connection) m_connection->Close();
+  m_connection.reset();
+}
+
+void RawClient::OnConnected(TimePoint) {
+  m_connection->Write(std::exchange(m_unsent, {}));
+}
+
+void RawClient::OnData(std::string_view data, TimePoint) { received += data; }
+
+void RawClient::OnEnd(ConnectionEnd, TimePoint) {
+  is_ended = true;
+  m_connection.reset();
+}
+
+std::string RequestText(const std::string& method, const std::string& path,
+                        const std::string& id, const std::string& body,
+                        const std::string& more_headers) {
+  std::string text =
+      method + " " + path +
+      " HTTP/1.1\r\nTest-Authority: test.example\r\nTest-Id: " + id +
+      "\r\nTest-Time-Left: 5000\r\n" + more_headers;
+  if (!body.empty()) {
+    text += "Content-Length: " + std::to_string(body.size()) + "\r\n";
+  }
+  return text + "\r\n" + body;
+}
+
 RelayPair::RelayPair()
     : server_port(FreeLoopbackPort()),
       peer_port(FreeLoopbackPort()),
--- a/Tests/relay_harness.h
+++ b/Tests/relay_harness.h
@@ -35,9 +35,9 @@
 
   FakeServer(EventLoop* loop, uint16_t port);
 
-  void OnRequest(const std::shared_ptr<HttpServerSession>& session,
-                 HttpRequest request, TimePoint now) override;
-  void OnCallerDisconnected(const std::shared_ptr<HttpServerSession>& session,
+  void OnRequest(const HttpResponderPtr& session, HttpRequest request,
+                 TimePoint now) override;
+  void OnCallerDisconnected(const HttpResponderPtr& session,
                             TimePoint now) override;
   // Responds to all held requests with 200, or with 500.
   void ReleaseHeldRequests(TimePoint now);
@@ -50,12 +50,12 @@
   size_t held() const { return m_held.size(); }
 
  private:
-  void AnswerOk(const std::shared_ptr<HttpServerSession>& session,
-                const std::string& id, TimePoint now);
+  void AnswerOk(const HttpResponderPtr& session, const std::string& id,
+                TimePoint now);
 
   EventLoop* m_loop;
   std::unique_ptr<TcpListener> m_listener;
-  std::map<std::shared_ptr<HttpServerSession>, std::string> m_held;
+  std::map<HttpResponderPtr, std::string> m_held;
 };
 
 // TCP proxy that can reset its connections or drop their traffic.
@@ -81,6 +81,32 @@
   size_t m_accepted = 0;
 };
 
+// TCP client that sends and receives plain text.
+class RawClient : private TcpHandler {
+ public:
+  RawClient(EventLoop* loop, const SocketAddress& address);
+  ~RawClient() override { Close(); }
+
+  void Write(const std::string& text);
+  void Close();
+
+  std::string received;
+  bool is_ended = false;
+
+ private:
+  void OnConnected(TimePoint now) override;
+  void OnData(std::string_view data, TimePoint now) override;
+  void OnEnd(ConnectionEnd end, TimePoint now) override;
+
+  std::shared_ptr<TcpConnection> m_connection;
+  std::string m_unsent;
+};
+
+// Returns the text of a request for the test routes; see RelayPair::Send().
+std::string RequestText(const std::string& method, const std::string& path,
+                        const std::string& id, const std::string& body = "",
+                        const std::string& more_headers = "");
+
 // A request sent by a test, and its result.
 struct FakeCall {
   std::shared_ptr<HttpClientSession> session;
