Relay, Platform: Bound and check what servers, callers and the store send

Causes, each with a test that failed first: - A header value or path that is not UTF-8 made the frame between nodes unreadable; the connection with all calls on it ended. Texts of others are bytes now (ForwardsTextThatIsNotUtf8). - Numbers of the store were converted without a check: slots -5 became 4,294,967,291, version -1 the highest one. One reader checks type and range of every number; odd entries name no server, cost nothing else, do not travel to other nodes and are logged once (DecodesOnlyValidServerRecords, RefusesConfigurationsWithBadNumbers, UnreadableItemLosesNothingElse, UnreadableEntriesNameNoServer). - Keys went into the next request of a paged list as they are; an odd key made it malformed and the list was never read to its end (ReadsPagesBehindOddKeys). - An answer to a watch beyond the limit was asked for again and again (OversizedWatchIsReadAgain). - Responses had a limit of 64 MiB each and none together; interim responses, responses to other requests and empty lines were skipped without end (EndlessResponsesEndAtTheLimit). - On a connection in use again, a late copy without an ID, or any copy if the request had none, was taken as the answer (LateCopyIsNotTheNextResponse). - A removed server was forgotten after 30 s, and an older copy of its record was then used (IgnoresCopiesFromBeforeAForgottenRemoval, AppliedRemovalsHoldInAnyOrderOfMessages). - Remaining times beyond the clock's range overflowed (AcceptsAnyRemainingTime).

--- a/Source/eventio/http_client_session.cc
+++ b/Source/eventio/http_client_session.cc
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr int kFirstFinalStatus = 200;
+constexpr int kFirstRefusalStatus = 400;
 
 // Returns the idle timeout from a "Keep-Alive: timeout=SECONDS" field.
 std::optional<std::chrono::seconds> ParseKeepAlive(std::string_view value) {
@@ -27,15 +28,18 @@
 
 HttpClientSession::HttpClientSession(EventLoop* loop,
                                      const SocketAddress& address,
-                                     std::string id_header)
+                                     std::string id_header,
+                                     HttpReader::Limits limits)
     : m_loop(loop),
       m_address(address),
       m_id_header(std::move(id_header)),
-      m_reader(HttpReader::Kind::kResponses, {}) {}
+      m_reader(HttpReader::Kind::kResponses, limits) {}
 
 void HttpClientSession::Send(const HttpRequest& request, Done done,
                              TimePoint now) {
   m_done = std::move(done);
+  ++m_exchanges;
+  m_skipped_responses = 0;
   m_reader.ExpectNoBody(request.method == "HEAD");
   m_request_id =
       m_id_header.empty() ? "" : request.headers.Find(m_id_header).value_or("");
@@ -73,36 +77,62 @@
       case HttpReader::Result::kNeedsMore:
         return;
       case HttpReader::Result::kMessage:
-        HandleResponse(!data.empty(), now);
-        if (!m_connection) return;
+        if (!HandleResponse(!data.empty(), now)) return;
         break;
       case HttpReader::Result::kError:
+        Fail(ExchangeEnd::kNoAnswer, now);
+        return;
       case HttpReader::Result::kTooLarge:
-        Close();
-        Finish({ExchangeEnd::kNoAnswer, {}}, now);
+        Fail(ExchangeEnd::kTooLarge, now);
         return;
     }
   }
 }
 
-void HttpClientSession::HandleResponse(bool more_data, TimePoint now) {
-  ParsedMessage message = m_reader.Take();
-  if (message.status < kFirstFinalStatus) return;
+HttpClientSession::Match HttpClientSession::MatchResponse(
+    const ParsedMessage& message) const {
+  if (m_id_header.empty()) return Match::kOwn;
   const auto id = message.headers.Find(m_id_header);
-  if (!m_request_id.empty() && id && *id != m_request_id) {
-    // A late response to an earlier request.
-    return;
+  if (id) return *id == m_request_id ? Match::kOwn : Match::kOther;
+  const bool is_first = m_exchanges == 1 && m_skipped_responses == 0;
+  const bool needs_id = !m_request_id.empty() && !is_first &&
+                        message.status < kFirstRefusalStatus;
+  return needs_id ? Match::kUnknown : Match::kOwn;
+}
+
+bool HttpClientSession::HandleResponse(bool more_data, TimePoint now) {
+  ParsedMessage message = m_reader.Take();
+  const bool is_interim = message.status < kFirstFinalStatus;
+  const Match match = is_interim ? Match::kOther : MatchResponse(message);
+  if (match == Match::kUnknown) {
+    Fail(ExchangeEnd::kNoAnswer, now);
+    return false;
+  }
+  if (match == Match::kOther) {
+    if (++m_skipped_responses <= kMaxSkippedResponses) return true;
+    Fail(ExchangeEnd::kTooLarge, now);
+    return false;
   }
   m_reusable =
       message.keep_alive && !more_data && m_connection->UnsentBytes() == 0;
   UpdateReuseDeadline(message, now);
   if (!m_reusable) Close();
+  Deliver(std::move(message), now);
+  return m_connection != nullptr;
+}
+
+void HttpClientSession::Deliver(ParsedMessage message, TimePoint now) {
   Finish({ExchangeEnd::kAnswered,
           HttpResponse{message.status, std::move(message.headers),
                        std::move(message.body)}},
          now);
 }
 
+void HttpClientSession::Fail(ExchangeEnd end, TimePoint now) {
+  Close();
+  Finish({end, {}}, now);
+}
+
 void HttpClientSession::UpdateReuseDeadline(const ParsedMessage& message,
                                             TimePoint now) {
   Duration reuse = kDefaultReuseTimeout;
@@ -129,12 +159,8 @@
   if (end == ConnectionEnd::kClosed &&
       m_reader.ReadEof() == HttpReader::Result::kMessage) {
     ParsedMessage message = m_reader.Take();
-    const auto id = message.headers.Find(m_id_header);
-    if (m_request_id.empty() || !id || *id == m_request_id) {
-      Finish({ExchangeEnd::kAnswered,
-              HttpResponse{message.status, std::move(message.headers),
-                           std::move(message.body)}},
-             now);
+    if (MatchResponse(message) == Match::kOwn) {
+      Deliver(std::move(message), now);
       return;
     }
   }
--- a/Source/eventio/http_client_session.h
+++ b/Source/eventio/http_client_session.h
@@ -20,6 +20,8 @@
   kNotSent = 2,
   // The request was sent, but no complete and valid response was received.
   kNoAnswer = 3,
+  // As kNoAnswer; what was received exceeds a limit.
+  kTooLarge = 4,
 };
 
 struct ExchangeResult {
@@ -35,11 +37,11 @@
  public:
   using Done = std::function<void(ExchangeResult, TimePoint now)>;
 
-  // `id_header` names the request header that the server echoes; a response
-  // with a different value belongs to another request and is discarded. If
-  // empty, responses are not matched.
+  // `id_header` names the request header that the server echoes; see
+  // MatchResponse(). If empty, responses are not matched. A response beyond
+  // `limits` ends the exchange and the connection.
   HttpClientSession(EventLoop* loop, const SocketAddress& address,
-                    std::string id_header);
+                    std::string id_header, HttpReader::Limits limits = {});
   ~HttpClientSession() override { Close(); }
 
   // Sends `request`, connecting first if necessary. `done` is called once
@@ -56,11 +58,25 @@
   void OnData(std::string_view data, TimePoint now) override;
   void OnEnd(ConnectionEnd end, TimePoint now) override;
 
-  void HandleResponse(bool more_data, TimePoint now);
+  // Whether a response belongs to the current request.
+  enum class Match : uint8_t { kOwn, kOther, kUnknown };
+
+  // A response with a different ID belongs to another request, such as a late
+  // copy on a connection that is in use again. One without an ID cannot be told
+  // from such a copy unless it is the first on its connection, or states that
+  // the request was refused.
+  Match MatchResponse(const ParsedMessage& message) const;
+  // Handles a complete message; false if the connection was closed.
+  bool HandleResponse(bool more_data, TimePoint now);
+  void Deliver(ParsedMessage message, TimePoint now);
+  void Fail(ExchangeEnd end, TimePoint now);
   void Finish(ExchangeResult result, TimePoint now);
   void Close();
   void UpdateReuseDeadline(const ParsedMessage& message, TimePoint now);
 
+  // Responses that are skipped in one exchange: interim responses and late
+  // responses to earlier requests. Beyond this, the server is not usable.
+  static constexpr uint32_t kMaxSkippedResponses = 16;
   // Timeout for establishing a connection.
   static constexpr Duration kConnectTimeout = std::chrono::seconds(1);
   // Idle time after which a connection is not reused if the server sends no
@@ -79,6 +95,8 @@
   std::string m_unsent_request;
   std::string m_request_id;
   Done m_done;
+  uint32_t m_exchanges = 0;
+  uint32_t m_skipped_responses = 0;
   TimerId m_connect_timer = 0;
   bool m_reusable = false;
   TimePoint m_reuse_deadline;
--- a/Source/eventio/http_reader.cc
+++ b/Source/eventio/http_reader.cc
@@ -62,7 +62,10 @@
     return Result::kError;
   }
   data->remove_prefix(read);
-  return Result::kNeedsMore;
+  // The parser skips empty lines before a message without a limit.
+  m_skipped_bytes = m_in_message ? 0 : m_skipped_bytes + read;
+  return m_skipped_bytes > m_limits.max_header_bytes ? Result::kTooLarge
+                                                     : Result::kNeedsMore;
 }
 
 HttpReader::Result HttpReader::ReadEof() {
@@ -78,9 +81,23 @@
 ParsedMessage HttpReader::Take() {
   m_in_message = false;
   m_headers_complete = false;
+  ReturnBodyBytes();
   return std::exchange(m_message, {});
 }
 
+bool HttpReader::TakeBodyBytes(size_t size) {
+  if (m_message.body.size() + size > m_limits.max_body_bytes) return false;
+  if (m_limits.body_budget == nullptr) return true;
+  if (!m_limits.body_budget->TryTake(size)) return false;
+  m_budgeted_bytes += size;
+  return true;
+}
+
+void HttpReader::ReturnBodyBytes() {
+  if (m_budgeted_bytes == 0) return;
+  m_limits.body_budget->Return(std::exchange(m_budgeted_bytes, 0));
+}
+
 bool HttpReader::CountHeaderBytes(size_t size) {
   m_header_bytes += size;
   m_too_large = m_header_bytes > m_limits.max_header_bytes;
@@ -90,6 +107,7 @@
 int HttpReader::OnMessageBegin(http_parser* parser) {
   HttpReader* self = Self(parser);
   self->m_message = {};
+  self->ReturnBodyBytes();
   self->m_header_bytes = 0;
   self->m_in_message = true;
   self->m_headers_complete = false;
@@ -135,7 +153,7 @@
 
 int HttpReader::OnBody(http_parser* parser, const char* data, size_t size) {
   HttpReader* self = Self(parser);
-  if (self->m_message.body.size() + size > self->m_limits.max_body_bytes) {
+  if (!self->TakeBodyBytes(size)) {
     self->m_too_large = true;
     return 1;
   }
--- a/Source/eventio/http_reader.h
+++ b/Source/eventio/http_reader.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <string_view>
 
+#include "eventio/byte_budget.h"
 #include "eventio/http_message.h"
 
 namespace vanillatiller {
@@ -36,9 +37,13 @@
   struct Limits {
     size_t max_header_bytes = size_t{64} << 10;
     size_t max_body_bytes = size_t{64} << 20;
+    // Holds the bytes of the body that is being read, if set. Must outlive the
+    // reader.
+    ByteBudget* body_budget = nullptr;
   };
 
   HttpReader(Kind kind, Limits limits);
+  ~HttpReader() { ReturnBodyBytes(); }
   HttpReader(const HttpReader&) = delete;
   HttpReader& operator=(const HttpReader&) = delete;
 
@@ -70,11 +75,17 @@
   static const http_parser_settings& Callbacks();
 
   bool CountHeaderBytes(size_t size);
+  bool TakeBodyBytes(size_t size);
+  void ReturnBodyBytes();
 
   const Limits m_limits;
   http_parser m_parser;
   ParsedMessage m_message;
   size_t m_header_bytes = 0;
+  // Empty lines read since the last message.
+  size_t m_skipped_bytes = 0;
+  // Taken from the budget.
+  size_t m_budgeted_bytes = 0;
   bool m_in_message = false;
   bool m_headers_complete = false;
   bool m_complete = false;
--- a/Source/eventio/tcp_connection.cc
+++ b/Source/eventio/tcp_connection.cc
@@ -32,10 +32,12 @@
   const size_t colon = text.rfind(':');
   if (colon == std::string_view::npos) return std::nullopt;
   SocketAddress address{std::string(text.substr(0, colon)), 0};
+  const std::string digits(text.substr(colon + 1));
   uint32_t port = 0;
   sockaddr_in parsed;
-  if (!absl::SimpleAtoi(std::string(text.substr(colon + 1)), &port) ||
-      port == 0 || port > UINT16_MAX ||
+  // SimpleAtoi() also accepts signs and spaces.
+  if (digits.find_first_not_of("0123456789") != std::string::npos ||
+      !absl::SimpleAtoi(digits, &port) || port == 0 || port > UINT16_MAX ||
       uv_ip4_addr(address.ip.c_str(), static_cast<int>(port), &parsed) != 0) {
     return std::nullopt;
   }
--- a/Source/relay/call_executor.cc
+++ b/Source/relay/call_executor.cc
@@ -47,7 +47,7 @@
   local.call = call;
   local.done = std::move(done);
   local.received = now;
-  local.deadline = now + std::chrono::microseconds(call.time_left_us());
+  local.deadline = now + TimeLeft(call);
   const HttpHeaders headers = DecodeHeaders(call.headers());
   local.request_id = headers.Find(m_names->request_id).value_or("");
   if (m_draining) {
@@ -255,8 +255,10 @@
     m_idle_sessions.pop_back();
     if (session->IsReusable(now)) return session;
   }
+  HttpReader::Limits limits = kAnswerLimits;
+  limits.body_budget = &m_answer_bytes;
   return std::make_shared<HttpClientSession>(m_loop, m_server,
-                                             m_names->request_id);
+                                             m_names->request_id, limits);
 }
 
 void CallExecutor::ReturnSession(std::shared_ptr<HttpClientSession> session,
--- a/Source/relay/call_executor.h
+++ b/Source/relay/call_executor.h
@@ -66,6 +66,8 @@
   void OnNestedOverloaded(std::string_view request_id);
 
   PeerLoad Load() const;
+  // Size of the response bodies that are being read from the server.
+  size_t UnfinishedAnswerBytes() const { return m_answer_bytes.used(); }
   bool IsIdle() const { return m_calls.empty(); }
   void Tick(TimePoint now);
 
@@ -104,6 +106,12 @@
   // the tighter bound.
   static constexpr Duration kMaxQueueWait = std::chrono::seconds(2);
 
+  // Largest response, and size of all responses that are being read. A faulty
+  // server may send bytes without end.
+  static constexpr HttpReader::Limits kAnswerLimits = {size_t{64} << 10,
+                                                       size_t{16} << 20};
+  static constexpr size_t kMaxUnfinishedAnswerBytes = size_t{32} << 20;
+
   EventLoop* m_loop;
   const SocketAddress m_server;
   const ProtocolNames* m_names;
@@ -113,6 +121,8 @@
   uint32_t m_slots = 1;
   bool m_draining = false;
   Handle m_last_handle = 0;
+  // Must outlive the sessions, which return their bytes.
+  ByteBudget m_answer_bytes{kMaxUnfinishedAnswerBytes};
   std::map<Handle, LocalCall> m_calls;
   // Running calls by request ID.
   std::map<std::string, Handle, std::less<>> m_active_by_request_id;
--- a/Source/relay/call_order.cc
+++ b/Source/relay/call_order.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "relay/call_result.h"
+
 namespace vanillatiller {
 namespace {
 
@@ -21,7 +23,7 @@
     work.shed_hash = 0;
   }
   work.is_nested = call.is_nested();
-  work.deadline = now + std::chrono::microseconds(call.time_left_us());
+  work.deadline = now + TimeLeft(call);
   work.method = call.route();
   return work;
 }
--- a/Source/relay/call_result.cc
+++ b/Source/relay/call_result.cc
@@ -1,5 +1,7 @@
 #include "relay/call_result.h"
 
+#include <algorithm>
+
 namespace vanillatiller {
 namespace {
 
@@ -22,6 +24,12 @@
   return Outcome::kUnknown;
 }
 
+// Larger values would overflow the clock.
+Duration ClampedMicroseconds(uint64_t us) {
+  constexpr uint64_t kDayUs = uint64_t{24} * 3600 * 1000 * 1000;
+  return std::chrono::microseconds(std::min(us, kDayUs));
+}
+
 }  // namespace
 
 void EncodeHeaders(const HttpHeaders& headers,
@@ -42,6 +50,10 @@
   return headers;
 }
 
+Duration TimeLeft(const relay::Call& call) {
+  return ClampedMicroseconds(call.time_left_us());
+}
+
 relay::Load EncodeLoad(const PeerLoad& load) {
   relay::Load encoded;
   encoded.set_in_flight(load.in_flight);
@@ -82,7 +94,7 @@
   result.response.body = answer.body();
   result.has_load = answer.has_load();
   result.load = DecodeLoad(answer.load());
-  result.expected_wait = std::chrono::microseconds(answer.wait_us());
+  result.expected_wait = ClampedMicroseconds(answer.wait_us());
   result.overload_below = answer.overload_below();
   return result;
 }
--- a/Source/relay/call_result.h
+++ b/Source/relay/call_result.h
@@ -31,6 +31,9 @@
 
 relay::Answer EncodeAnswer(uint64_t id, const CallResult& result);
 CallResult DecodeAnswer(const relay::Answer& answer);
+// Time left of a call, at most a day: the sender may be faulty, and larger
+// values would overflow the clock.
+Duration TimeLeft(const relay::Call& call);
 relay::Load EncodeLoad(const PeerLoad& load);
 PeerLoad DecodeLoad(const relay::Load& load);
 
--- a/Source/relay/relay_metrics.cc
+++ b/Source/relay/relay_metrics.cc
@@ -59,6 +59,8 @@
   AppendCounter("callers_gone_total", "", callers_gone, &text);
   AppendCounter("platform_reads_total", "", platform_reads, &text);
   AppendCounter("platform_failures_total", "", platform_failures, &text);
+  AppendCounter("platform_values_ignored_total", "", platform_values_ignored,
+                &text);
   for (const auto& [name, value] : gauges) {
     absl::StrAppendFormat(&text, "vanillatiller_%s %g\n", name, value);
   }
--- a/Source/relay/relay_metrics.h
+++ b/Source/relay/relay_metrics.h
@@ -39,6 +39,8 @@
   uint64_t callers_gone = 0;
   uint64_t platform_reads = 0;
   uint64_t platform_failures = 0;
+  // Unreadable values in the platform's answers.
+  uint64_t platform_values_ignored = 0;
   // Current gauge values, by metric name.
   std::map<std::string, double> gauges;
   LatencyHistogram request_time;
--- a/Source/relay/server_answer.cc
+++ b/Source/relay/server_answer.cc
@@ -31,6 +31,7 @@
     case ExchangeEnd::kNotSent:
       return MakeFailure(Outcome::kNotRun, RefusalCode::kBackendUnreachable);
     case ExchangeEnd::kNoAnswer:
+    case ExchangeEnd::kTooLarge:
       return MakeFailure(Outcome::kUnknown, RefusalCode::kIncompleteAnswer);
     case ExchangeEnd::kAnswered:
       break;
--- a/Source/relay/server_directory.cc
+++ b/Source/relay/server_directory.cc
@@ -10,6 +10,14 @@
 }
 
 bool ServerDirectory::Apply(const ServerRecord& record, TimePoint now) {
+  if (!m_entries.contains(record.id) &&
+      record.revision <= m_forgotten_revision) {
+    return false;
+  }
+  return ApplyRecord(record, now);
+}
+
+bool ServerDirectory::ApplyRecord(const ServerRecord& record, TimePoint now) {
   m_revision = std::max(m_revision, record.revision);
   Entry& entry = m_entries[record.id];
   // The record is a delayed copy from before a restart of the server.
@@ -32,10 +40,17 @@
                              TimePoint now) {
   m_revision = std::max(m_revision, revision);
   const auto found = m_entries.find(id);
-  if (found == m_entries.end()) return false;
+  if (found == m_entries.end()) {
+    // A delayed copy of the record may follow.
+    Entry& tombstone = m_entries[std::string(id)];
+    tombstone.removed_revision = std::max(revision, m_forgotten_revision);
+    tombstone.expires = now;
+    return false;
+  }
   Entry& entry = found->second;
-  if (revision < entry.record.revision || entry.expires) return false;
-  entry.removed_revision = revision;
+  if (revision < entry.record.revision) return false;
+  entry.removed_revision = std::max(entry.removed_revision, revision);
+  if (entry.expires) return false;
   entry.expires = std::max(now, m_renewal_deadline);
   DropExpired(now);
   return true;
@@ -43,11 +58,12 @@
 
 size_t ServerDirectory::ApplyList(const std::vector<ServerRecord>& list,
                                   uint64_t revision, TimePoint now) {
+  if (revision < m_forgotten_revision) return 0;
   size_t changes = 0;
   std::set<std::string_view> listed;
   for (const ServerRecord& record : list) {
     listed.insert(record.id);
-    changes += Apply(record, now) ? 1 : 0;
+    changes += ApplyRecord(record, now) ? 1 : 0;
   }
   std::vector<std::string> missing;
   for (const auto& [id, entry] : m_entries) {
@@ -68,9 +84,14 @@
   // Removed entries are kept as tombstones, whose revisions reject delayed
   // copies of the record.
   static constexpr Duration kTombstoneLifetime = std::chrono::seconds(30);
-  std::erase_if(m_entries, [now](const auto& item) {
-    return item.second.expires &&
-           now - *item.second.expires > kTombstoneLifetime;
+  std::erase_if(m_entries, [this, now](const auto& item) {
+    const Entry& entry = item.second;
+    if (!entry.expires || now - *entry.expires <= kTombstoneLifetime) {
+      return false;
+    }
+    m_forgotten_revision =
+        std::max(m_forgotten_revision, entry.removed_revision);
+    return true;
   });
 }
 
--- a/Source/relay/server_directory.h
+++ b/Source/relay/server_directory.h
@@ -70,6 +70,7 @@
   };
 
   static bool IsPresent(const Entry& entry, TimePoint now);
+  bool ApplyRecord(const ServerRecord& record, TimePoint now);
   void DropExpired(TimePoint now);
 
   // Time in which servers renew expired records after an outage of the list:
@@ -79,6 +80,9 @@
 
   std::map<std::string, Entry, std::less<>> m_entries;
   uint64_t m_revision = 0;
+  // Highest revision of a removal without a tombstone. Records of unknown
+  // servers, and lists, that are not newer may be from before that removal.
+  uint64_t m_forgotten_revision = 0;
   TimePoint m_renewal_deadline;
 };
 
--- a/Tests/eventio_test.cc
+++ b/Tests/eventio_test.cc
@@ -144,6 +144,176 @@
   }
 }
 
+// Sends each piece of a script on the next received request, or the last piece
+// without end, as long as the client reads.
+class StreamingServer : private TcpHandler {
+ public:
+  StreamingServer(EventLoop* loop, std::vector<std::string> pieces,
+                  bool is_endless)
+      : m_loop(loop), m_pieces(std::move(pieces)), m_is_endless(is_endless) {
+    std::string reason;
+    address = {"127.0.0.1", FreeLoopbackPort()};
+    m_listener = TcpListener::Listen(
+        loop, address,
+        [this](const std::shared_ptr<TcpConnection>& connection, TimePoint) {
+          connection->SetHandler(this);
+          m_connection = connection;
+        },
+        &reason);
+    BOOST_TEST_REQUIRE((m_listener != nullptr), reason);
+  }
+
+  SocketAddress address;
+  size_t sent_bytes = 0;
+  bool is_ended = false;
+
+ private:
+  void OnConnected(TimePoint) override {}
+  void OnData(std::string_view, TimePoint now) override {
+    if (m_next < m_pieces.size()) Send(m_pieces.at(m_next++));
+    if (m_is_endless) Stream(now);
+  }
+  void OnEnd(ConnectionEnd, TimePoint) override {
+    is_ended = true;
+    m_connection.reset();
+  }
+  void Send(const std::string& text) {
+    sent_bytes += text.size();
+    m_connection->Write(text);
+  }
+  void Stream(TimePoint now) {
+    if (!m_connection) return;
+    constexpr int kRepeats = 20;
+    for (int i = 0; i < kRepeats && m_connection->UnsentBytes() == 0; ++i) {
+      Send(m_pieces.back());
+    }
+    m_loop->Schedule(now + milliseconds(1),
+                     [this](TimePoint later) { Stream(later); });
+  }
+
+  EventLoop* m_loop;
+  const std::vector<std::string> m_pieces;
+  const bool m_is_endless;
+  size_t m_next = 0;
+  std::unique_ptr<TcpListener> m_listener;
+  std::shared_ptr<TcpConnection> m_connection;
+};
+
+// A faulty server sends bytes without end until the caller closes. The exchange
+// must end at its limits; what the process holds stays bounded.
+BOOST_AUTO_TEST_CASE(EndlessResponsesEndAtTheLimit) {
+  struct Case {
+    const char* what;
+    std::string head;
+    std::string endless;
+  };
+  const std::string ok = "HTTP/1.1 200 OK\r\nTest-Id: mine\r\n";
+  const std::string filler(1000, 'x');
+  const std::vector<Case> cases = {
+      {"status line", "HTTP/1.1 200 ", filler},
+      {"one header value", ok + "X: ", filler},
+      {"headers", ok, "X: " + filler + "\r\n"},
+      {"body until the end of the connection", ok + "\r\n", filler},
+      {"body with a length", ok + "Content-Length: 999999999\r\n\r\n", filler},
+      {"chunks", ok + "Transfer-Encoding: chunked\r\n\r\n",
+       "3e8\r\n" + filler + "\r\n"},
+      {"chunk extension", ok + "Transfer-Encoding: chunked\r\n\r\n3e8;",
+       filler},
+      {"trailers", ok + "Transfer-Encoding: chunked\r\n\r\n0\r\n",
+       "X: " + filler + "\r\n"},
+      {"interim responses", "", "HTTP/1.1 102 Processing\r\n\r\n"},
+      {"responses to other requests", "",
+       "HTTP/1.1 200 OK\r\nTest-Id: other\r\nContent-Length: 1\r\n\r\nx"},
+      {"not HTTP", "", filler},
+      {"empty lines", "", "\r\n\r\n\r\n\r\n\r\n\r\n\r\n\r\n"},
+  };
+  for (const Case& item : cases) {
+    BOOST_TEST_CONTEXT(item.what) {
+      EventLoop loop;
+      StreamingServer server(&loop, {item.head + item.endless, item.endless},
+                             true);
+      ByteBudget budget(size_t{60} << 10);
+      auto session = std::make_shared<HttpClientSession>(
+          &loop, server.address, "Test-Id",
+          HttpReader::Limits{size_t{64} << 10, size_t{1} << 20, &budget});
+      HttpRequest request;
+      request.method = "GET";
+      request.target = "/";
+      request.headers.Add("Test-Id", "mine");
+      ExchangeResult result;
+      bool is_over = false;
+      session->Send(
+          request,
+          [&](ExchangeResult got, TimePoint) {
+            result = std::move(got);
+            is_over = true;
+          },
+          BootClock::now());
+      BOOST_TEST_REQUIRE(RunUntil(&loop, [&] { return is_over; }));
+      BOOST_TEST((result.end == ExchangeEnd::kNoAnswer ||
+                  result.end == ExchangeEnd::kTooLarge));
+      BOOST_TEST(RunUntil(&loop, [&] { return server.is_ended; }));
+      // The limits, and what the sockets hold.
+      BOOST_TEST(server.sent_bytes < size_t{8} << 20);
+      session.reset();
+      BOOST_TEST(budget.used() == 0U);
+    }
+  }
+}
+
+// A server sends a second copy of a response when its connection is in use
+// again. The next request must not get it, with or without an ID on it.
+BOOST_AUTO_TEST_CASE(LateCopyIsNotTheNextResponse) {
+  const auto response = [](const std::string& id, const std::string& body) {
+    return "HTTP/1.1 200 OK\r\n" +
+           (id.empty() ? "" : "Test-Id: " + id + "\r\n") +
+           "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+  };
+  struct Case {
+    const char* what;
+    std::string second_id;
+    std::string second_answer;
+    ExchangeEnd expected;
+  };
+  const std::vector<Case> cases = {
+      {"copy with its ID", "r2",
+       response("r1", "first") + response("r2", "mine"),
+       ExchangeEnd::kAnswered},
+      {"copy without an ID", "r2", response("", "first"),
+       ExchangeEnd::kNoAnswer},
+      {"request without an ID", "",
+       response("r1", "first") + response("", "mine"), ExchangeEnd::kAnswered},
+  };
+  for (const Case& item : cases) {
+    BOOST_TEST_CONTEXT(item.what) {
+      EventLoop loop;
+      StreamingServer server(
+          &loop, {response("r1", "first"), item.second_answer}, false);
+      auto session =
+          std::make_shared<HttpClientSession>(&loop, server.address, "Test-Id");
+      ExchangeResult result;
+      for (const std::string& id : {std::string("r1"), item.second_id}) {
+        HttpRequest request;
+        request.method = "GET";
+        request.target = "/";
+        if (!id.empty()) request.headers.Add("Test-Id", id);
+        bool is_over = false;
+        session->Send(
+            request,
+            [&](ExchangeResult got, TimePoint) {
+              result = std::move(got);
+              is_over = true;
+            },
+            BootClock::now());
+        BOOST_TEST_REQUIRE(RunUntil(&loop, [&] { return is_over; }));
+      }
+      BOOST_TEST((result.end == item.expected));
+      BOOST_TEST(result.response.body ==
+                 (item.expected == ExchangeEnd::kAnswered ? "mine" : ""));
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(FailedConnectReportsNotSent) {
   EventLoop loop;
   auto session = std::make_shared<HttpClientSession>(
--- a/Tests/platform/platform_test.cc
+++ b/Tests/platform/platform_test.cc
@@ -112,6 +112,25 @@
          state + R"(","sequence":4,"warmup_remaining_ms":0})" + extra + "}";
 }
 
+std::string ServerValueWith(const std::string& from, const std::string& to) {
+  std::string value = ServerValue("ready", "");
+  return value.replace(value.find(from), from.size(), to);
+}
+
+std::string WithAddress(const std::string& address) {
+  return ServerValueWith("10.0.0.9:8080", address);
+}
+
+std::string WithSlots(const std::string& slots) {
+  return ServerValueWith("\"slots\":72", "\"slots\":" + slots);
+}
+
+std::string Nested(const std::string& opening, size_t depth) {
+  std::string text;
+  for (size_t i = 0; i < depth; ++i) text += opening;
+  return text;
+}
+
 // Malformed records from other writers must be ignored.
 BOOST_AUTO_TEST_CASE(DecodesOnlyValidServerRecords) {
   struct Case {
@@ -137,6 +156,30 @@
       {"a list", "[]", false},
       {"not JSON", "\x80\x01", false},
       {"empty", "", false},
+      {"too large", ServerValue("ready", "") + std::string(20000, ' '), false},
+      {"nested objects", Nested("{\"a\":", 3000), false},
+      {"nested lists", Nested("[", 8000), false},
+      {"start before 1970", ServerValue("ready", ",\"born\":-1"), false},
+      {"start in the far future", ServerValue("ready", ",\"born\":1e15"),
+       false},
+      {"start with a fraction", ServerValue("ready", ",\"born\":1.5"), false},
+      {"port 0", WithAddress("10.0.0.9:0"), false},
+      {"port 65536", WithAddress("10.0.0.9:65536"), false},
+      {"port -1", WithAddress("10.0.0.9:-1"), false},
+      {"port with a sign", WithAddress("10.0.0.9:+80"), false},
+      {"port with a space", WithAddress("10.0.0.9: 80"), false},
+      {"no port", WithAddress("10.0.0.9"), false},
+      {"name for an address", WithAddress("server.example:80"), false},
+      {"number of slots -5", WithSlots("-5"), false},
+      {"number of slots 0", WithSlots("0"), false},
+      {"number of slots 2^32+1", WithSlots("4294967297"), false},
+      {"number of slots 2^64", WithSlots("18446744073709551616"), false},
+      {"number of slots 1e300", WithSlots("1e300"), false},
+      {"number of slots 1e999", WithSlots("1e999"), false},
+      {"number of slots 1.5", WithSlots("1.5"), false},
+      {"number of slots true", WithSlots("true"), false},
+      {"number of slots null", WithSlots("null"), false},
+      {"number of slots 72.0", WithSlots("72.0"), true},
   };
   for (const Case& item : cases) {
     BOOST_TEST_CONTEXT(item.what) {
@@ -159,6 +202,68 @@
          std::to_string(revision) + "}";
 }
 
+// Numbers that do not fit were converted without a check. A version of -1
+// became the highest one, so that no later configuration was applied.
+BOOST_AUTO_TEST_CASE(RefusesConfigurationsWithBadNumbers) {
+  struct Case {
+    const char* what;
+    std::string from;
+    std::string to;
+  };
+  const std::vector<Case> cases = {
+      {"version -1", "\"version\":7", "\"version\":-1"},
+      {"version 0", "\"version\":7", "\"version\":0"},
+      {"version 2^64", "\"version\":7", "\"version\":18446744073709551616"},
+      {"version text", "\"version\":7", "\"version\":\"7\""},
+      {"priority -1", "\"priority\":2", "\"priority\":-1"},
+      {"weight -90", "\"weight\":90", "\"weight\":-90"},
+      {"attempts 0", "\"max_attempts\":2", "\"max_attempts\":0"},
+      {"timeout -1", "\"timeout_ms\":2000", "\"timeout_ms\":-1"},
+      {"limit -1", "\"max_body_bytes\":1000", "\"max_body_bytes\":-1"},
+      {"rules are no list", "\"rules\":[", "\"rules\":3,\"other\":["},
+  };
+  for (const Case& item : cases) {
+    BOOST_TEST_CONTEXT(item.what) {
+      std::string text = kConfig;
+      text.replace(text.find(item.from), item.from.size(), item.to);
+      std::string reason;
+      BOOST_TEST(!DecodeConfig(text, &reason).has_value());
+      BOOST_TEST(!reason.empty());
+    }
+  }
+  std::string reason;
+  BOOST_TEST(!DecodeConfig(Nested("[", 500000), &reason).has_value());
+  BOOST_TEST(reason == "value is nested too deeply");
+}
+
+// One element of a list that cannot be read must not lose the others.
+BOOST_AUTO_TEST_CASE(UnreadableItemLosesNothingElse) {
+  const std::string good = Item("servers/i-1", "x", 8);
+  const std::vector<std::string> bad = {
+      R"({"key":"servers/odd","value":7,"revision":9})",
+      R"({"key":"servers/odd","value":"%%","revision":9})",
+      R"({"key":"servers/odd","value":"eA==","revision":-9})",
+      R"({"key":"servers/odd","value":"eA==","revision":1e300})",
+      R"({"key":"servers/odd","value":"eA=="})",
+      R"({"key":7,"value":"eA==","revision":9})",
+      R"({"key":"servers/odd","removed":"yes","revision":9})",
+      "[]",
+      "null",
+  };
+  for (const std::string& item : bad) {
+    BOOST_TEST_CONTEXT(item) {
+      std::string reason;
+      const auto items = DecodeItems(
+          R"({"items":[)" + item + "," + good + R"(],"current_rev":10})",
+          &reason);
+      BOOST_TEST_REQUIRE(items.has_value(), reason);
+      BOOST_TEST_REQUIRE(items->items.size() == 1U);
+      BOOST_TEST(items->items[0].key == "servers/i-1");
+      BOOST_TEST(items->faults.size() == 1U);
+    }
+  }
+}
+
 std::string ConfigVersion(int version) {
   std::string text = kConfig;
   return text.replace(text.find(":7"), 2, ":" + std::to_string(version));
@@ -184,8 +289,8 @@
         &reason);
   }
 
-  void OnRequest(const std::shared_ptr<HttpServerSession>& session,
-                 HttpRequest request, TimePoint now) override {
+  void OnRequest(const HttpResponderPtr& session, HttpRequest request,
+                 TimePoint now) override {
     calls.push_back(request.target);
     for (auto& [prefix, answers] : script) {
       if (!request.target.starts_with(prefix) || answers.empty()) continue;
@@ -197,8 +302,7 @@
     // A watch without changes stays open.
     m_waiting.push_back(session);
   }
-  void OnCallerDisconnected(const std::shared_ptr<HttpServerSession>&,
-                            TimePoint) override {}
+  void OnCallerDisconnected(const HttpResponderPtr&, TimePoint) override {}
 
   SocketAddress address;
   std::vector<std::string> calls;
@@ -207,7 +311,7 @@
  private:
   EventLoop* m_loop;
   std::unique_ptr<TcpListener> m_listener;
-  std::vector<std::shared_ptr<HttpServerSession>> m_waiting;
+  std::vector<HttpResponderPtr> m_waiting;
 };
 
 struct StoreFixture {
@@ -344,6 +448,59 @@
   BOOST_TEST(RunUntil(&pair.loop, [&] { return HasWatched(10); }));
 }
 
+// An unreadable entry names no server, also if it replaces a readable one, and
+// does not travel to other nodes. It is logged once.
+BOOST_FIXTURE_TEST_CASE(UnreadableEntriesNameNoServer, StoreFixture) {
+  const std::string odd = Nested("[", 8000);
+  store.script = {
+      {"/-/kv-range",
+       {{200, R"({"items":[)" +
+                  Item("servers/i-1", ServerValue("ready", ""), 8) + "," +
+                  Item("servers/odd", odd, 9) +
+                  R"(],"more_pages":false,"current_rev":10})"}}},
+      {"/-/kv-key", {{404, ""}}},
+      {"/-/kv-watch",
+       {{200, R"({"events":[)" + Item("servers/odd", odd, 11) + "," +
+                  Item("servers/i-1", WithSlots("-5"), 12) +
+                  R"(],"current_rev":12})"}}},
+  };
+  client.Start(BootClock::now());
+  BOOST_TEST_REQUIRE(RunUntil(&pair.loop, [&] { return HasWatched(12); }));
+  BOOST_TEST(client.MakeSnapshot().servers_size() == 0);
+  BOOST_TEST(pair.front->metrics()->platform_values_ignored == 3U);
+}
+
+// Keys of another writer may hold any bytes. They are part of the next request,
+// which was refused as malformed: the list was never read to its end.
+BOOST_FIXTURE_TEST_CASE(ReadsPagesBehindOddKeys, StoreFixture) {
+  store.script = {
+      {"/-/kv-range?prefix=servers/&after=servers/%20%26x%0D%0A",
+       {{200, R"({"items":[],"more_pages":false,"current_rev":11})"}}},
+      {"/-/kv-range",
+       {{200, R"({"items":[{"key":"servers/ &x\r\n","value":3}],)"
+              R"("more_pages":true,"current_rev":10})"}}},
+      {"/-/kv-key", {{404, ""}}},
+  };
+  client.Start(BootClock::now());
+  BOOST_TEST(RunUntil(&pair.loop, [&] { return HasWatched(10); }));
+}
+
+// The answer to a watch exceeds the limit. Repeating it gives the same answer,
+// so everything must be read again.
+BOOST_FIXTURE_TEST_CASE(OversizedWatchIsReadAgain, StoreFixture) {
+  const std::string list =
+      R"({"items":[],"more_pages":false,"current_rev":10})";
+  const std::string later =
+      R"({"items":[],"more_pages":false,"current_rev":20})";
+  store.script = {
+      {"/-/kv-range", {{200, list}, {200, later}}},
+      {"/-/kv-key", {{404, ""}, {404, ""}}},
+      {"/-/kv-watch", {{200, std::string(size_t{9} << 20, ' ')}}},
+  };
+  client.Start(BootClock::now());
+  BOOST_TEST(RunUntil(&pair.loop, [&] { return HasWatched(20); }));
+}
+
 // A peer has read a just-restored store in which the records of running servers
 // had expired. These servers must stay usable until they can renew them.
 BOOST_FIXTURE_TEST_CASE(SnapshotOfRestoredStoreKeepsServers, StoreFixture) {
--- a/Tests/relay_test.cc
+++ b/Tests/relay_test.cc
@@ -33,6 +33,41 @@
   BOOST_TEST(std::stoi(HeaderOf(seen, "Test-Time-Left")) <= 5000);
 }
 
+// Callers may send any bytes in header values and paths. A request whose text
+// is not UTF-8 made the frame between nodes unreadable, which ended the
+// connection with all calls on it.
+BOOST_AUTO_TEST_CASE(ForwardsTextThatIsNotUtf8) {
+  RelayPair pair;
+  RawClient client(&pair.loop, pair.front_settings.caller_listener);
+  client.Write(
+      RequestText("GET", "/\xff/ok", "r1", "", "X-Name: \xe9t\xe9\r\n"));
+  BOOST_TEST_REQUIRE(RunUntil(
+      &pair.loop, [&] { return !client.received.empty() || client.is_ended; }));
+  BOOST_TEST(client.received.find("body-r1") != std::string::npos);
+  BOOST_TEST_REQUIRE(pair.server.arrivals.size() == 1U);
+  const HttpRequest& seen = pair.server.arrivals[0].request;
+  BOOST_TEST(seen.target == "/\xff/ok");
+  BOOST_TEST(HeaderOf(seen.headers, "X-Name") == "\xe9t\xe9");
+  BOOST_TEST(pair.network.accepted() == 1U);
+}
+
+// Values that overflow the clock were read as negative times.
+BOOST_AUTO_TEST_CASE(AcceptsAnyRemainingTime) {
+  for (const char* left :
+       {"18446744073709551615", "9223372036854775807", "9999999999999"}) {
+    BOOST_TEST_CONTEXT(left) {
+      RelayPair pair;
+      RawClient client(&pair.loop, pair.front_settings.caller_listener);
+      std::string text = RequestText("GET", "/ok", "r1");
+      text.replace(text.find("5000"), 4, left);
+      client.Write(text);
+      BOOST_TEST_REQUIRE(
+          RunUntil(&pair.loop, [&] { return !client.received.empty(); }));
+      BOOST_TEST(client.received.find("body-r1") != std::string::npos);
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(RespondsWhenNoRetryIsPossible) {
   struct Case {
     const char* what;
