Relay, Platform: Let one reader for each failure domain watch the platform

Ruled out: spread with membership of the product's own interface (a second member list beside the platform's, and two mechanisms stay); readers of a region (with a third of the nodes cut off, all three are at once in 4 of 100 cases). Change: ReaderSelection finds one reader for each failure domain by rendezvous hashing; each node takes reports from two, readers from each other. A node watches the store if it has subscribers or no reader reports to it. FleetStateExchange holds what nodes tell each other, apart from Relay.

--- /dev/null
+++ b/Source/relay/fleet_state_exchange.cc
@@ -0,0 +1,330 @@
+#include "relay/fleet_state_exchange.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "relay/server_directory.h"
+
+namespace vanillatiller {
+
+FleetStateExchange::FleetStateExchange(FleetNode own, uint64_t incarnation,
+                                       FleetStateTransport* transport,
+                                       EventLog* log)
+    : m_incarnation(incarnation),
+      m_transport(transport),
+      m_log(log),
+      m_readers(std::move(own)) {}
+
+void FleetStateExchange::SetStore(FleetStateStore* store) {
+  m_store = store;
+  m_store->SetListener([this](const FleetStateChanges& changes, TimePoint now) {
+    OnChanges(changes, now);
+  });
+}
+
+relay::View FleetStateExchange::View() const {
+  return m_store != nullptr ? m_store->View() : relay::View();
+}
+
+void FleetStateExchange::SetNodes(std::vector<FleetNode> nodes, TimePoint now) {
+  m_readers.SetNodes(std::move(nodes));
+  if (m_store != nullptr) UpdateProviders(now);
+}
+
+relay::Frame FleetStateExchange::MakeSnapshotRequest() const {
+  relay::Frame frame;
+  *frame.mutable_snapshot_request()->mutable_view() = m_store->View();
+  return frame;
+}
+
+void FleetStateExchange::OnFrame(const relay::Frame& frame, const Reply& reply,
+                                 TimePoint now) {
+  if (m_store == nullptr) return;
+  switch (frame.content_case()) {
+    case relay::Frame::kHello:
+      if (m_store->IsPlatformUnreachable() &&
+          m_store->IsBehind(frame.hello().view())) {
+        reply(MakeSnapshotRequest());
+      }
+      break;
+    case relay::Frame::kSnapshotRequest:
+      if (IsNewer(m_store->View(), frame.snapshot_request().view())) {
+        relay::Frame answer;
+        *answer.mutable_snapshot() = m_store->MakeSnapshot();
+        reply(answer);
+      }
+      break;
+    case relay::Frame::kSnapshot:
+      OnSnapshot(frame.snapshot(), now);
+      break;
+    case relay::Frame::kSubscribe:
+      OnSubscribe(frame.subscribe(), reply, now);
+      break;
+    default:
+      break;
+  }
+}
+
+void FleetStateExchange::OnNodeFrame(const SocketAddress& node,
+                                     const relay::Frame& frame, TimePoint now) {
+  if (m_store == nullptr) return;
+  if (frame.has_feed()) {
+    OnFeed(node, frame.feed(), now);
+    return;
+  }
+  OnFrame(
+      frame,
+      [this, &node](const relay::Frame& reply) {
+        m_transport->SendToNode(node, reply);
+      },
+      now);
+}
+
+void FleetStateExchange::OnSnapshot(const relay::Snapshot& snapshot,
+                                    TimePoint now) {
+  m_log->Write(
+      LogTopic::kFleetState, "news-from-peer",
+      {{"revision", std::to_string(snapshot.directory_revision())},
+       {"before", std::to_string(m_store->View().directory_revision())},
+       {"servers", std::to_string(snapshot.servers_size())}},
+      now);
+  m_store->ApplySnapshot(snapshot, now);
+}
+
+void FleetStateExchange::OnChanges(const FleetStateChanges& changes,
+                                   TimePoint now) {
+  RememberChanges(changes);
+  for (auto& [incarnation, subscriber] : m_subscribers) {
+    Report(&subscriber, now);
+  }
+}
+
+void FleetStateExchange::RememberChanges(const FleetStateChanges& changes) {
+  // The first changes hold all that is known; a snapshot is no larger.
+  if (changes.from == 0) {
+    m_recent.clear();
+    m_recent_since = changes.to;
+    return;
+  }
+  for (const relay::Item& item : changes.items) {
+    relay::Item& last = m_recent[item.key()];
+    if (last.revision() <= item.revision()) last = item;
+  }
+  while (m_recent.size() > kMaxRecentChanges) {
+    const auto oldest = std::min_element(
+        m_recent.begin(), m_recent.end(), [](const auto& a, const auto& b) {
+          return a.second.revision() < b.second.revision();
+        });
+    m_recent_since = std::max(m_recent_since, oldest->second.revision());
+    m_recent.erase(oldest);
+  }
+}
+
+void FleetStateExchange::OnSubscribe(const relay::Subscribe& subscribe,
+                                     const Reply& reply, TimePoint now) {
+  if (subscribe.incarnation() == m_incarnation) return;
+  const bool is_new = !m_subscribers.contains(subscribe.incarnation());
+  Subscriber& subscriber = m_subscribers[subscribe.incarnation()];
+  subscriber.send = reply;
+  subscriber.last_renewed = now;
+  subscriber.revision = subscribe.view().directory_revision();
+  if (is_new) UpdateReadMode(now);
+  if (is_new || subscriber.revision < m_store->View().directory_revision()) {
+    Report(&subscriber, now);
+  }
+}
+
+void FleetStateExchange::Report(Subscriber* subscriber, TimePoint now) {
+  const uint64_t revision = m_store->View().directory_revision();
+  subscriber->last_sent = now;
+  relay::Frame frame;
+  if (subscriber->revision < revision &&
+      (m_recent_since == 0 || subscriber->revision < m_recent_since)) {
+    *frame.mutable_snapshot() = m_store->MakeSnapshot();
+    subscriber->send(frame);
+    frame.Clear();
+    subscriber->revision = revision;
+  }
+  relay::Feed* feed = frame.mutable_feed();
+  feed->set_is_current(m_store->IsWatching());
+  feed->set_from_revision(std::min(subscriber->revision, revision));
+  feed->set_to_revision(revision);
+  feed->set_renewal_left_us(ToMicroseconds(m_store->RenewalLeft(now)));
+  if (subscriber->revision < revision) {
+    for (const auto& [key, item] : m_recent) {
+      if (item.revision() > subscriber->revision) *feed->add_changes() = item;
+    }
+  }
+  subscriber->revision = std::max(subscriber->revision, revision);
+  subscriber->send(frame);
+}
+
+void FleetStateExchange::OnFeed(const SocketAddress& node,
+                                const relay::Feed& feed, TimePoint now) {
+  Provider* provider = FindProvider(node);
+  // The subscription has ended.
+  if (provider == nullptr) return;
+  provider->last_received = now;
+  m_store->ExtendRenewal(std::chrono::microseconds(std::min(
+                             feed.renewal_left_us(),
+                             ToMicroseconds(ServerDirectory::kRenewalGrace))),
+                         now);
+  if (feed.to_revision() > m_store->View().directory_revision()) {
+    FleetStateChanges changes{feed.from_revision(), feed.to_revision(), {}};
+    changes.items.assign(feed.changes().begin(), feed.changes().end());
+    // The next subscription states what is known here, and the provider sends
+    // the rest.
+    if (!m_store->ApplyChanges(changes, now)) {
+      RenewSubscription(provider, now);
+      return;
+    }
+  }
+  // A provider that knows less than this node misses changes.
+  const bool is_current =
+      feed.is_current() &&
+      feed.to_revision() >= m_store->View().directory_revision();
+  if (is_current) m_store->OnConfirmedCurrent(now);
+  if (is_current != std::exchange(provider->is_current, is_current)) {
+    UpdateReadMode(now);
+  }
+}
+
+FleetStateExchange::Provider* FleetStateExchange::FindProvider(
+    const SocketAddress& node) {
+  const auto found = std::find_if(
+      m_providers.begin(), m_providers.end(),
+      [&node](const Provider& provider) { return provider.node == node; });
+  return found == m_providers.end() ? nullptr : &*found;
+}
+
+bool FleetStateExchange::IsAlive(const Provider& provider, TimePoint now) {
+  return provider.is_subscribed &&
+         now - provider.last_received < kProviderTimeout;
+}
+
+void FleetStateExchange::UpdateProviders(TimePoint now) {
+  for (const Provider& provider : m_providers) {
+    if (now - std::max(provider.selected, provider.last_received) <
+        kProviderTimeout) {
+      continue;
+    }
+    m_log->Write(LogTopic::kFleetState, "reader-silent",
+                 {{"node", provider.node.ToString()}}, now);
+    m_readers.Avoid(provider.node, now);
+  }
+  const std::vector<SocketAddress> selected = m_readers.Select(now);
+  std::erase_if(m_providers, [&selected](const Provider& provider) {
+    return std::find(selected.begin(), selected.end(), provider.node) ==
+           selected.end();
+  });
+  for (const SocketAddress& node : selected) {
+    if (FindProvider(node) != nullptr) continue;
+    Provider provider;
+    provider.node = node;
+    provider.selected = now;
+    m_providers.push_back(provider);
+  }
+  for (Provider& provider : m_providers) {
+    const bool is_up = m_transport->KeepConnected(provider.node, now);
+    if (!is_up) {
+      provider.is_subscribed = false;
+    } else if (!provider.is_subscribed ||
+               now - provider.last_subscribed >= kSubscribePeriod) {
+      RenewSubscription(&provider, now);
+    }
+  }
+  UpdateReadMode(now);
+}
+
+void FleetStateExchange::RenewSubscription(Provider* provider, TimePoint now) {
+  provider->is_subscribed = true;
+  provider->last_subscribed = now;
+  relay::Frame frame;
+  frame.mutable_subscribe()->set_incarnation(m_incarnation);
+  *frame.mutable_subscribe()->mutable_view() = m_store->View();
+  m_transport->SendToNode(provider->node, frame);
+}
+
+void FleetStateExchange::UpdateReadMode(TimePoint now) {
+  bool has_reader = false;
+  bool has_alive = false;
+  for (const Provider& provider : m_providers) {
+    const bool is_starting = provider.last_received == TimePoint{} &&
+                             now - provider.selected < kFirstReportTime;
+    const bool is_alive = IsAlive(provider, now);
+    has_alive = has_alive || is_alive;
+    has_reader = has_reader || is_starting || (is_alive && provider.is_current);
+  }
+  ReadMode mode = ReadMode::kReader;
+  if (m_subscribers.empty()) {
+    if (has_alive) mode = ReadMode::kBackup;
+    if (has_reader) mode = ReadMode::kFromPeers;
+  }
+  if (mode == std::exchange(m_mode, mode)) return;
+  m_log->Write(LogTopic::kFleetState, "read-mode",
+               {{"reads", mode == ReadMode::kFromPeers ? "no" : "yes"},
+                {"subscribers", std::to_string(m_subscribers.size())},
+                {"providers", std::to_string(m_providers.size())}},
+               now);
+  m_store->SetReadMode(mode, now);
+}
+
+void FleetStateExchange::OnConnectionLost(const SocketAddress& node,
+                                          TimePoint now) {
+  Provider* provider = FindProvider(node);
+  if (provider == nullptr) return;
+  provider->is_subscribed = false;
+  provider->is_current = false;
+  UpdateReadMode(now);
+}
+
+void FleetStateExchange::OnNodeView(const SocketAddress& node,
+                                    const relay::View& view, TimePoint now) {
+  if (m_store == nullptr || m_newer_node || !m_store->IsBehind(view)) return;
+  m_newer_node = NewerNode{node, view, now};
+}
+
+void FleetStateExchange::CheckNewerNode(TimePoint now) {
+  if (!m_newer_node || now - m_newer_node->since < kPropagationDelay) return;
+  const NewerNode newer = *std::exchange(m_newer_node, std::nullopt);
+  if (!m_store->IsBehind(newer.view)) return;
+  const relay::View own = View();
+  m_log->Write(
+      LogTopic::kFleetState, "behind-peer",
+      {{"node", newer.node.ToString()},
+       {"revision", std::to_string(own.directory_revision())},
+       {"its_revision", std::to_string(newer.view.directory_revision())},
+       {"config", std::to_string(own.config_version())},
+       {"its_config", std::to_string(newer.view.config_version())}},
+      now);
+  m_transport->SendToNode(newer.node, MakeSnapshotRequest());
+}
+
+void FleetStateExchange::RequestSnapshot(TimePoint now) {
+  if (!m_store->IsPlatformUnreachable() || now < m_next_snapshot_request) {
+    return;
+  }
+  m_next_snapshot_request = now + kSnapshotRequestPeriod;
+  const std::vector<SocketAddress> nodes = m_transport->ConnectedNodes();
+  if (nodes.empty()) return;
+  // Connected nodes take turns.
+  const auto next =
+      std::upper_bound(nodes.begin(), nodes.end(), m_last_snapshot_node);
+  m_last_snapshot_node = next == nodes.end() ? nodes.front() : *next;
+  m_transport->SendToNode(m_last_snapshot_node, MakeSnapshotRequest());
+}
+
+void FleetStateExchange::Tick(TimePoint now) {
+  if (m_store == nullptr) return;
+  RequestSnapshot(now);
+  CheckNewerNode(now);
+  std::erase_if(m_subscribers, [now](const auto& item) {
+    return now - item.second.last_renewed >= kSubscriptionLifetime;
+  });
+  for (auto& [incarnation, subscriber] : m_subscribers) {
+    if (now - subscriber.last_sent >= kReportPeriod) Report(&subscriber, now);
+  }
+  UpdateProviders(now);
+}
+
+}  // namespace vanillatiller
--- /dev/null
+++ b/Source/relay/fleet_state_exchange.h
@@ -0,0 +1,143 @@
+#ifndef VANILLATILLER_SOURCE_RELAY_FLEET_STATE_EXCHANGE_H_
+#define VANILLATILLER_SOURCE_RELAY_FLEET_STATE_EXCHANGE_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "relay/event_log.h"
+#include "relay/fleet_state_store.h"
+#include "relay/reader_selection.h"
+
+namespace vanillatiller {
+
+// Connections to other nodes, as the exchange needs them.
+class FleetStateTransport {
+ public:
+  virtual ~FleetStateTransport() = default;
+  // Sends a frame, or drops it if the connection to the node is down.
+  virtual void SendToNode(const SocketAddress& node,
+                          const relay::Frame& frame) = 0;
+  // Connects to the node if necessary. Returns true if the connection is up.
+  virtual bool KeepConnected(const SocketAddress& node, TimePoint now) = 0;
+  // Nodes with a connection that is up, in order.
+  virtual std::vector<SocketAddress> ConnectedNodes() const = 0;
+};
+
+// Exchanges the fleet state with other nodes: takes reports of changes from
+// readers of the platform, reports changes to subscribers, and asks for a
+// snapshot if this node cannot read the platform or is behind a peer. Decides
+// whether this node itself must read the platform. Does no I/O of its own.
+class FleetStateExchange {
+ public:
+  using Reply = std::function<void(const relay::Frame&)>;
+
+  FleetStateExchange(FleetNode own, uint64_t incarnation,
+                     FleetStateTransport* transport, EventLog* log);
+
+  // `store` must outlive the exchange. Without a store nothing is exchanged.
+  void SetStore(FleetStateStore* store);
+  relay::View View() const;
+
+  // The listed nodes changed.
+  void SetNodes(std::vector<FleetNode> nodes, TimePoint now);
+  // A frame from a node that called this one; `reply` answers on the same
+  // connection.
+  void OnFrame(const relay::Frame& frame, const Reply& reply, TimePoint now);
+  // A frame from a node that this one is connected to.
+  void OnNodeFrame(const SocketAddress& node, const relay::Frame& frame,
+                   TimePoint now);
+  // A node reported a view; requests a snapshot if this node stays behind it.
+  void OnNodeView(const SocketAddress& node, const relay::View& view,
+                  TimePoint now);
+  void OnConnectionLost(const SocketAddress& node, TimePoint now);
+  void Tick(TimePoint now);
+
+  // Number of nodes that take reports from this one.
+  size_t CountSubscribers() const { return m_subscribers.size(); }
+
+ private:
+  // A node that reports changes to this one.
+  struct Provider {
+    SocketAddress node;
+    TimePoint selected;
+    TimePoint last_received;
+    TimePoint last_subscribed;
+    bool is_subscribed = false;
+    bool is_current = false;
+  };
+  // A node that takes reports from this one.
+  struct Subscriber {
+    Reply send;
+    TimePoint last_renewed;
+    TimePoint last_sent;
+    uint64_t revision = 0;
+  };
+  // A peer that knows more than this node.
+  struct NewerNode {
+    SocketAddress node;
+    relay::View view;
+    TimePoint since;
+  };
+
+  void OnChanges(const FleetStateChanges& changes, TimePoint now);
+  void OnSubscribe(const relay::Subscribe& subscribe, const Reply& reply,
+                   TimePoint now);
+  void OnFeed(const SocketAddress& node, const relay::Feed& feed,
+              TimePoint now);
+  void OnSnapshot(const relay::Snapshot& snapshot, TimePoint now);
+  // Sends what the subscriber does not know yet.
+  void Report(Subscriber* subscriber, TimePoint now);
+  void RememberChanges(const FleetStateChanges& changes);
+  void UpdateProviders(TimePoint now);
+  void RenewSubscription(Provider* provider, TimePoint now);
+  void UpdateReadMode(TimePoint now);
+  void RequestSnapshot(TimePoint now);
+  void CheckNewerNode(TimePoint now);
+  relay::Frame MakeSnapshotRequest() const;
+  Provider* FindProvider(const SocketAddress& node);
+  static bool IsAlive(const Provider& provider, TimePoint now);
+
+  // Period of snapshot requests while the platform cannot be read.
+  static constexpr Duration kSnapshotRequestPeriod =
+      std::chrono::milliseconds(600);
+  // Usual spread of the times at which nodes learn of a change: changes are
+  // batched for half a second, and a slow platform adds a quarter of a second.
+  static constexpr Duration kPropagationDelay = std::chrono::milliseconds(1000);
+  // Period of subscriptions, and time without one after which it has ended.
+  static constexpr Duration kSubscribePeriod = std::chrono::milliseconds(1000);
+  static constexpr Duration kSubscriptionLifetime = std::chrono::seconds(3);
+  // Longest time between two reports, and time without one after which the
+  // provider counts as failed.
+  static constexpr Duration kReportPeriod = std::chrono::milliseconds(400);
+  static constexpr Duration kProviderTimeout = std::chrono::milliseconds(1200);
+  // Time for a provider to send its first report before this node reads for
+  // itself.
+  static constexpr Duration kFirstReportTime = std::chrono::milliseconds(800);
+  // Keys whose last change is remembered for subscribers.
+  static constexpr size_t kMaxRecentChanges = 512;
+
+  const uint64_t m_incarnation;
+  FleetStateTransport* m_transport;
+  EventLog* m_log;
+  FleetStateStore* m_store = nullptr;
+  ReaderSelection m_readers;
+  std::vector<Provider> m_providers;
+  // By incarnation.
+  std::map<uint64_t, Subscriber> m_subscribers;
+  // The last change of each key since m_recent_since.
+  std::map<std::string, relay::Item> m_recent;
+  uint64_t m_recent_since = 0;
+  std::optional<NewerNode> m_newer_node;
+  ReadMode m_mode = ReadMode::kReader;
+  TimePoint m_next_snapshot_request;
+  // Node that received the last snapshot request.
+  SocketAddress m_last_snapshot_node;
+};
+
+}  // namespace vanillatiller
+
+#endif  // VANILLATILLER_SOURCE_RELAY_FLEET_STATE_EXCHANGE_H_
--- a/Source/relay/fleet_state_store.h
+++ b/Source/relay/fleet_state_store.h
@@ -1,6 +1,10 @@
 #ifndef VANILLATILLER_SOURCE_RELAY_FLEET_STATE_STORE_H_
 #define VANILLATILLER_SOURCE_RELAY_FLEET_STATE_STORE_H_
 
+#include <cstdint>
+#include <functional>
+#include <vector>
+
 #include "base/base.h"
 #include "relay/relay.pb.h"
 
@@ -12,20 +16,70 @@
          view.config_version() > other.config_version();
 }
 
+// Changes that bring a state of revision `from` to revision `to`.
+struct FleetStateChanges {
+  uint64_t from = 0;
+  uint64_t to = 0;
+  std::vector<relay::Item> items;
+};
+
+// How a node learns of changes.
+enum class ReadMode : uint8_t {
+  // Other nodes report them; the platform is not asked.
+  kFromPeers = 1,
+  // Watches the platform, also on behalf of other nodes.
+  kReader = 2,
+  // Watches the platform because no reader does. Asks less often while the
+  // platform fails, as the readers ask it too.
+  kBackup = 3,
+};
+
 // Fleet state read from the platform, as exchanged between nodes. A node that
 // cannot read the platform, or has just started, obtains a snapshot from a peer
 // so that it keeps working with the latest known state.
 class FleetStateStore {
  public:
+  // Called when changes have been applied, whatever their source.
+  using Listener =
+      std::function<void(const FleetStateChanges& changes, TimePoint now)>;
+
   virtual ~FleetStateStore() = default;
 
   // Returns true while the platform cannot be read.
   virtual bool IsPlatformUnreachable() const = 0;
+  // All changes up to the revision of the view have been applied.
   virtual relay::View View() const = 0;
   virtual relay::Snapshot MakeSnapshot() const = 0;
   virtual void ApplySnapshot(const relay::Snapshot& snapshot,
                              TimePoint now) = 0;
 
+  virtual void SetListener(Listener listener) { (void)listener; }
+  virtual void SetReadMode(ReadMode mode, TimePoint now) {
+    (void)mode;
+    (void)now;
+  }
+  // Whether this node watches the platform and misses no change.
+  virtual bool IsWatching() const { return !IsPlatformUnreachable(); }
+  // Returns false if the changes do not follow the state of this node.
+  virtual bool ApplyChanges(const FleetStateChanges& changes, TimePoint now) {
+    (void)changes;
+    (void)now;
+    return false;
+  }
+  // A node that watches the platform has reported that nothing is missing here.
+  virtual void OnConfirmedCurrent(TimePoint now) { (void)now; }
+
+  // Time for which records that are missing after an outage of the platform
+  // still count.
+  virtual Duration RenewalLeft(TimePoint now) const {
+    (void)now;
+    return {};
+  }
+  virtual void ExtendRenewal(Duration left, TimePoint now) {
+    (void)left;
+    (void)now;
+  }
+
   // Returns true if `view` is newer than the state of this node.
   bool IsBehind(const relay::View& view) const { return IsNewer(view, View()); }
 };
--- a/Source/relay/peer_client.cc
+++ b/Source/relay/peer_client.cc
@@ -44,6 +44,12 @@
   if (m_is_up) m_connection->Write(EncodeFrame(frame));
 }
 
+void PeerClient::KeepConnected(TimePoint now) {
+  if (m_connection || now < m_reconnect_at) return;
+  m_reconnect_at = now + kReconnectDelay;
+  Connect(now);
+}
+
 void PeerClient::Connect(TimePoint now) {
   m_reader = {};
   m_connect_started = now;
--- a/Source/relay/peer_client.h
+++ b/Source/relay/peer_client.h
@@ -54,6 +54,8 @@
   void Cancel(uint64_t id);
   // Sends a frame, or drops it if the connection is down.
   void SendFrame(const relay::Frame& frame);
+  // Connects without a call, at most once in kReconnectDelay.
+  void KeepConnected(TimePoint now);
   void Tick(TimePoint now);
 
   bool IsUp() const { return m_is_up; }
--- a/Source/relay/relay.cc
+++ b/Source/relay/relay.cc
@@ -5,6 +5,17 @@
 
 namespace vanillatiller {
 
+namespace {
+
+FleetNode MakeFleetNode(const SocketAddress& address, const std::string& domain,
+                        const Locality& locality) {
+  const auto region = locality.regions.find(domain);
+  return {address, domain,
+          region == locality.regions.end() ? "" : region->second};
+}
+
+}  // namespace
+
 // Serves health checks and metrics.
 class Relay::HealthHandler : public HttpRequestHandler {
  public:
@@ -41,11 +52,14 @@
       m_router(loop, &m_settings.names, settings.service, &m_placement, this,
                &m_executor, settings.retry_budget, log, &m_metrics,
                settings.incarnation),
-      m_health(std::make_unique<HealthHandler>(this)) {}
+      m_health(std::make_unique<HealthHandler>(this)),
+      m_fleet_state(
+          MakeFleetNode(settings.peer_listener,
+                        settings.locality.failure_domain, settings.locality),
+          settings.incarnation, this, log) {}
 
 Relay::~Relay() {
-  for (TimerId* timer :
-       {&m_tick_timer, &m_expiry_timer, &m_behind_peer_timer}) {
+  for (TimerId* timer : {&m_tick_timer, &m_expiry_timer}) {
     m_loop->Cancel(timer);
   }
 }
@@ -137,6 +151,14 @@
                 {"known", std::to_string(m_directory.size())},
                 {"revision", std::to_string(m_directory.revision())}},
                now);
+  std::vector<FleetNode> nodes;
+  nodes.reserve(usable.size());
+  for (const ServerRecord* server : usable) {
+    nodes.push_back(
+        MakeFleetNode({server->address.ip, m_settings.peer_listener.port},
+                      server->failure_domain, m_settings.locality));
+  }
+  m_fleet_state.SetNodes(std::move(nodes), now);
   const ServerRecord* own = m_directory.FindByAddress(m_settings.server, now);
   if (own != nullptr &&
       (own->id != m_server_id || own->started_ms != m_server_started_ms)) {
@@ -158,7 +180,7 @@
   PeerClient::Callbacks callbacks;
   callbacks.make_hello = [this] { return MakeHello(); };
   callbacks.on_view = [this, node](const relay::View& view, TimePoint now) {
-    OnPeerView(node, view, now);
+    m_fleet_state.OnNodeView(node, view, now);
   };
   callbacks.on_load = [this, node](const PeerLoad& load, TimePoint now) {
     for (const Candidate* candidate : m_placement.FindByNode(node)) {
@@ -171,18 +193,14 @@
     }
   };
   callbacks.on_frame = [this, node](const relay::Frame& frame, TimePoint now) {
-    OnFleetStateFrame(
-        frame,
-        [this, node](const relay::Frame& reply) {
-          ClientFor(node).SendFrame(reply);
-        },
-        now);
+    m_fleet_state.OnNodeFrame(node, frame, now);
   };
   callbacks.on_connection_event = [this, node](std::string_view what,
                                                TimePoint now) {
     m_log->Write(LogTopic::kFleetState, "peer",
                  {{"node", node.ToString()}, {"change", std::string(what)}},
                  now);
+    m_fleet_state.OnConnectionLost(node, now);
   };
   client = std::make_unique<PeerClient>(m_loop, node, std::move(callbacks));
   return *client;
@@ -244,12 +262,10 @@
 void Relay::OnPeerFrame(const relay::Frame& frame,
                         const std::function<void(const relay::Frame&)>& reply,
                         TimePoint now) {
-  OnFleetStateFrame(frame, reply, now);
+  m_fleet_state.OnFrame(frame, reply, now);
 }
 
-relay::View Relay::View() const {
-  return m_fleet_state != nullptr ? m_fleet_state->View() : relay::View();
-}
+relay::View Relay::View() const { return m_fleet_state.View(); }
 
 relay::Hello Relay::MakeHello() const {
   relay::Hello hello;
@@ -258,81 +274,22 @@
   return hello;
 }
 
-relay::Frame Relay::MakeSnapshotRequest() const {
-  relay::Frame frame;
-  *frame.mutable_snapshot_request()->mutable_view() = m_fleet_state->View();
-  return frame;
+void Relay::SendToNode(const SocketAddress& node, const relay::Frame& frame) {
+  ClientFor(node).SendFrame(frame);
 }
 
-void Relay::OnFleetStateFrame(
-    const relay::Frame& frame,
-    const std::function<void(const relay::Frame&)>& reply, TimePoint now) {
-  if (m_fleet_state == nullptr) return;
-  if (frame.has_hello()) {
-    if (m_fleet_state->IsPlatformUnreachable() &&
-        m_fleet_state->IsBehind(frame.hello().view())) {
-      reply(MakeSnapshotRequest());
-    }
-    return;
-  }
-  if (frame.has_snapshot_request()) {
-    if (!IsNewer(m_fleet_state->View(), frame.snapshot_request().view())) {
-      return;
-    }
-    relay::Frame answer;
-    *answer.mutable_snapshot() = m_fleet_state->MakeSnapshot();
-    reply(answer);
-    return;
-  }
-  if (!frame.has_snapshot()) return;
-  const relay::Snapshot& snapshot = frame.snapshot();
-  m_log->Write(
-      LogTopic::kFleetState, "news-from-peer",
-      {{"revision", std::to_string(snapshot.directory_revision())},
-       {"before", std::to_string(m_fleet_state->View().directory_revision())},
-       {"servers", std::to_string(snapshot.servers_size())}},
-      now);
-  m_fleet_state->ApplySnapshot(snapshot, now);
-}
-
-void Relay::OnPeerView(const SocketAddress& node, const relay::View& view,
-                       TimePoint now) {
-  if (m_fleet_state == nullptr || m_behind_peer_timer != 0 ||
-      !m_fleet_state->IsBehind(view)) {
-    return;
-  }
-  m_behind_peer_timer = m_loop->Schedule(
-      now + kPropagationDelay, [this, node, view](TimePoint later) {
-        m_behind_peer_timer = 0;
-        if (!m_fleet_state->IsBehind(view)) return;
-        const relay::View own = View();
-        m_log->Write(
-            LogTopic::kFleetState, "behind-peer",
-            {{"node", node.ToString()},
-             {"revision", std::to_string(own.directory_revision())},
-             {"its_revision", std::to_string(view.directory_revision())},
-             {"config", std::to_string(own.config_version())},
-             {"its_config", std::to_string(view.config_version())}},
-            later);
-        ClientFor(node).SendFrame(MakeSnapshotRequest());
-      });
+bool Relay::KeepConnected(const SocketAddress& node, TimePoint now) {
+  PeerClient& client = ClientFor(node);
+  client.KeepConnected(now);
+  return client.IsUp();
 }
 
-void Relay::RequestSnapshot(TimePoint now) {
-  if (m_fleet_state == nullptr || !m_fleet_state->IsPlatformUnreachable() ||
-      now < m_next_snapshot_request) {
-    return;
-  }
-  m_next_snapshot_request = now + kSnapshotRequestPeriod;
-  // Connected peers take turns.
-  auto next = m_clients.upper_bound(m_last_snapshot_peer);
-  for (size_t i = 0; i < m_clients.size(); ++i, ++next) {
-    if (next == m_clients.end()) next = m_clients.begin();
-    if (!next->second->IsUp()) continue;
-    m_last_snapshot_peer = next->first;
-    next->second->SendFrame(MakeSnapshotRequest());
-    return;
+std::vector<SocketAddress> Relay::ConnectedNodes() const {
+  std::vector<SocketAddress> nodes;
+  for (const auto& [node, client] : m_clients) {
+    if (client->IsUp()) nodes.push_back(node);
   }
+  return nodes;
 }
 
 void Relay::OnTick(TimePoint now) {
@@ -350,7 +307,7 @@
 void Relay::RunPeriodicTasks(TimePoint now) {
   for (const auto& [node, client] : m_clients) client->Tick(now);
   m_peer_server.Tick(now);
-  RequestSnapshot(now);
+  m_fleet_state.Tick(now);
   std::erase_if(m_caller_sessions,
                 [](const auto& session) { return session.expired(); });
   const PeerLoad load = m_executor.Load();
--- a/Source/relay/relay.h
+++ b/Source/relay/relay.h
@@ -12,21 +12,23 @@
 #include <vector>
 
 #include "eventio/eventio.h"
-#include "relay/call_averages.h"      // IWYU pragma: export
-#include "relay/call_executor.h"      // IWYU pragma: export
-#include "relay/call_order.h"         // IWYU pragma: export
-#include "relay/event_log.h"          // IWYU pragma: export
-#include "relay/fleet_state_store.h"  // IWYU pragma: export
-#include "relay/peer_client.h"        // IWYU pragma: export
-#include "relay/peer_server.h"        // IWYU pragma: export
-#include "relay/placement.h"          // IWYU pragma: export
-#include "relay/protocol_names.h"     // IWYU pragma: export
-#include "relay/relay_config.h"       // IWYU pragma: export
-#include "relay/relay_metrics.h"      // IWYU pragma: export
-#include "relay/request_router.h"     // IWYU pragma: export
-#include "relay/route_table.h"        // IWYU pragma: export
-#include "relay/server_directory.h"   // IWYU pragma: export
-#include "relay/server_quality.h"     // IWYU pragma: export
+#include "relay/call_averages.h"         // IWYU pragma: export
+#include "relay/call_executor.h"         // IWYU pragma: export
+#include "relay/call_order.h"            // IWYU pragma: export
+#include "relay/event_log.h"             // IWYU pragma: export
+#include "relay/fleet_state_exchange.h"  // IWYU pragma: export
+#include "relay/fleet_state_store.h"     // IWYU pragma: export
+#include "relay/peer_client.h"           // IWYU pragma: export
+#include "relay/peer_server.h"           // IWYU pragma: export
+#include "relay/placement.h"             // IWYU pragma: export
+#include "relay/protocol_names.h"        // IWYU pragma: export
+#include "relay/reader_selection.h"      // IWYU pragma: export
+#include "relay/relay_config.h"          // IWYU pragma: export
+#include "relay/relay_metrics.h"         // IWYU pragma: export
+#include "relay/request_router.h"        // IWYU pragma: export
+#include "relay/route_table.h"           // IWYU pragma: export
+#include "relay/server_directory.h"      // IWYU pragma: export
+#include "relay/server_quality.h"        // IWYU pragma: export
 
 namespace vanillatiller {
 
@@ -49,7 +51,9 @@
 };
 
 // The relay of one VM.
-class Relay : private CallTransport, private PeerCallHandler {
+class Relay : private CallTransport,
+              private PeerCallHandler,
+              private FleetStateTransport {
  public:
   Relay(EventLoop* loop, const RelaySettings& settings, EventLog* log,
         TimePoint now);
@@ -70,7 +74,16 @@
   void OnPlatformRestored(TimePoint now);
 
   // Must be called before Start(). `store` must outlive the relay.
-  void SetFleetStateStore(FleetStateStore* store) { m_fleet_state = store; }
+  void SetFleetStateStore(FleetStateStore* store) {
+    m_fleet_state.SetStore(store);
+  }
+  // See ServerDirectory.
+  Duration RenewalLeft(TimePoint now) const {
+    return m_directory.RenewalLeft(now);
+  }
+  void ExtendRenewal(Duration left, TimePoint now) {
+    m_directory.ExtendRenewal(left, now);
+  }
 
   uint64_t config_version() const { return m_router.config_version(); }
   RelayMetrics* metrics() { return &m_metrics; }
@@ -93,16 +106,11 @@
                    const std::function<void(const relay::Frame&)>& reply,
                    TimePoint now) override;
 
-  // Handles frames that exchange fleet state.
-  void OnFleetStateFrame(const relay::Frame& frame,
-                         const std::function<void(const relay::Frame&)>& reply,
-                         TimePoint now);
-  // A peer reported a view; requests a snapshot if this node stays behind it.
-  void OnPeerView(const SocketAddress& node, const relay::View& view,
-                  TimePoint now);
-  // Requests a snapshot from one peer if the platform cannot be read.
-  void RequestSnapshot(TimePoint now);
-  relay::Frame MakeSnapshotRequest() const;
+  void SendToNode(const SocketAddress& node,
+                  const relay::Frame& frame) override;
+  bool KeepConnected(const SocketAddress& node, TimePoint now) override;
+  std::vector<SocketAddress> ConnectedNodes() const override;
+
   PeerClient& ClientFor(const SocketAddress& node);
   void OnServersChanged(TimePoint now);
   void OnTick(TimePoint now);
@@ -116,12 +124,6 @@
   static constexpr Duration kQueueTickPeriod = std::chrono::milliseconds(20);
   // Period of all other recurring tasks.
   static constexpr Duration kTickPeriod = std::chrono::milliseconds(200);
-  // Period of snapshot requests while the platform cannot be read.
-  static constexpr Duration kSnapshotRequestPeriod =
-      std::chrono::milliseconds(600);
-  // Usual spread of the times at which nodes learn of a change: changes are
-  // batched for half a second, and a slow platform adds a quarter of a second.
-  static constexpr Duration kPropagationDelay = std::chrono::milliseconds(1000);
   // Time after Stop() during which callers are served normally, because they
   // have not noticed it yet: two health checks one second apart, and their
   // delays.
@@ -145,10 +147,7 @@
   std::map<uint64_t, CallExecutor::Handle> m_own_calls;
   std::vector<std::weak_ptr<HttpServerSession>> m_caller_sessions;
   HttpServerLimits m_caller_limits;
-  FleetStateStore* m_fleet_state = nullptr;
-  TimePoint m_next_snapshot_request;
-  // Peer that received the last snapshot request.
-  SocketAddress m_last_snapshot_peer;
+  FleetStateExchange m_fleet_state;
   bool m_has_servers = false;
   // ID and start time of the local server as last seen.
   std::string m_server_id;
@@ -159,8 +158,6 @@
   TimerId m_tick_timer = 0;
   // Fires when the next server record expires.
   TimerId m_expiry_timer = 0;
-  // Pending check whether this node is still behind a peer; 0 if there is none.
-  TimerId m_behind_peer_timer = 0;
 };
 
 }  // namespace vanillatiller
--- a/Source/relay/server_directory.cc
+++ b/Source/relay/server_directory.cc
@@ -80,6 +80,14 @@
   m_renewal_deadline = now + kRenewalGrace;
 }
 
+Duration ServerDirectory::RenewalLeft(TimePoint now) const {
+  return std::max(Duration::zero(), m_renewal_deadline - now);
+}
+
+void ServerDirectory::ExtendRenewal(Duration left, TimePoint now) {
+  m_renewal_deadline = std::max(m_renewal_deadline, now + left);
+}
+
 void ServerDirectory::DropExpired(TimePoint now) {
   // Removed entries are kept as tombstones, whose revisions reject delayed
   // copies of the record.
--- a/Source/relay/server_directory.h
+++ b/Source/relay/server_directory.h
@@ -49,6 +49,14 @@
   // The platform's list is readable again after an outage.
   void OnSourceRestored(TimePoint now);
 
+  // Time in which servers renew expired records after an outage of the list:
+  // two seconds according to the platform's documentation, plus the delay of
+  // reading the list.
+  static constexpr Duration kRenewalGrace = std::chrono::milliseconds(2300);
+  // Rest of that time, for nodes that have not seen the outage themselves.
+  Duration RenewalLeft(TimePoint now) const;
+  void ExtendRenewal(Duration left, TimePoint now);
+
   // Records of all services that may receive work.
   std::vector<const ServerRecord*> Usable(TimePoint now) const;
   // The most recently started server at `address`, usable or draining.
@@ -73,11 +81,6 @@
   bool ApplyRecord(const ServerRecord& record, TimePoint now);
   void DropExpired(TimePoint now);
 
-  // Time in which servers renew expired records after an outage of the list:
-  // two seconds according to the platform's documentation, plus the delay of
-  // reading the list.
-  static constexpr Duration kRenewalGrace = std::chrono::milliseconds(2300);
-
   std::map<std::string, Entry, std::less<>> m_entries;
   uint64_t m_revision = 0;
   // Highest revision of a removal without a tombstone. Records of unknown
--- a/Tests/platform/platform_test.cc
+++ b/Tests/platform/platform_test.cc
@@ -107,7 +107,7 @@
 }
 
 std::string ServerValue(const std::string& state, const std::string& extra) {
-  return R"({"address":"10.0.0.9:8080","info":{"service":"work",
+  return R"({"address":"127.0.0.9:8080","info":{"service":"work",
 "version":"v1","zone":"z1","slots":72},"status":{"state":")" +
          state + R"(","sequence":4,"warmup_remaining_ms":0})" + extra + "}";
 }
@@ -118,7 +118,7 @@
 }
 
 std::string WithAddress(const std::string& address) {
-  return ServerValueWith("10.0.0.9:8080", address);
+  return ServerValueWith("127.0.0.9:8080", address);
 }
 
 std::string WithSlots(const std::string& slots) {
@@ -145,11 +145,11 @@
       {"unknown state", ServerValue("waiting", ""), false},
       {"start is text", ServerValue("ready", ",\"born\":\"x\""), false},
       {"no status",
-       R"({"address":"10.0.0.9:8080","info":{"service":"work","zone":"z1",
+       R"({"address":"127.0.0.9:8080","info":{"service":"work","zone":"z1",
 "slots":72}})",
        false},
       {"slots are text",
-       R"({"address":"10.0.0.9:8080","info":{"service":"work","zone":"z1",
+       R"({"address":"127.0.0.9:8080","info":{"service":"work","zone":"z1",
 "slots":"72"},"status":{"state":"ready","sequence":1,
 "warmup_remaining_ms":0}})",
        false},
@@ -163,12 +163,12 @@
       {"start in the far future", ServerValue("ready", ",\"born\":1e15"),
        false},
       {"start with a fraction", ServerValue("ready", ",\"born\":1.5"), false},
-      {"port 0", WithAddress("10.0.0.9:0"), false},
-      {"port 65536", WithAddress("10.0.0.9:65536"), false},
-      {"port -1", WithAddress("10.0.0.9:-1"), false},
-      {"port with a sign", WithAddress("10.0.0.9:+80"), false},
-      {"port with a space", WithAddress("10.0.0.9: 80"), false},
-      {"no port", WithAddress("10.0.0.9"), false},
+      {"port 0", WithAddress("127.0.0.9:0"), false},
+      {"port 65536", WithAddress("127.0.0.9:65536"), false},
+      {"port -1", WithAddress("127.0.0.9:-1"), false},
+      {"port with a sign", WithAddress("127.0.0.9:+80"), false},
+      {"port with a space", WithAddress("127.0.0.9: 80"), false},
+      {"no port", WithAddress("127.0.0.9"), false},
       {"name for an address", WithAddress("server.example:80"), false},
       {"number of slots -5", WithSlots("-5"), false},
       {"number of slots 0", WithSlots("0"), false},
@@ -509,10 +509,8 @@
   full.set_directory_revision(50);
   relay::Item* server = full.add_servers();
   server->set_key("servers/server-1");
-  std::string value = ServerValue("ready", "");
-  const std::string address = "127.0.0.2:" + std::to_string(pair.server_port);
-  value.replace(value.find("10.0.0.9:8080"), 13, address);
-  server->set_value(value);
+  server->set_value(
+      WithAddress("127.0.0.2:" + std::to_string(pair.server_port)));
   server->set_revision(40);
   client.ApplySnapshot(full, start);
   BOOST_TEST(client.View().directory_revision() == 50U);
--- a/Tests/server_directory_test.cc
+++ b/Tests/server_directory_test.cc
@@ -136,6 +136,7 @@
       }
     }
     std::vector<ServerRecord> list;
+    list.reserve(live.size());
     for (const auto& [id, at] : live) list.push_back(RecordAt(at));
     return list;
   }
