--- a/Source/relay/fleet_state_exchange.cc
+++ b/Source/relay/fleet_state_exchange.cc
@@ -95,7 +95,7 @@
                                    TimePoint now) {
   RememberChanges(changes);
   for (auto& [incarnation, subscriber] : m_subscribers) {
-    Report(&subscriber, now);
+    Report(&subscriber, subscriber.wants_changes, now);
   }
 }
 
@@ -106,16 +106,16 @@
     m_recent_since = changes.to;
     return;
   }
-  for (const relay::Item& item : changes.items) {
-    relay::Item& last = m_recent[item.key()];
-    if (last.revision() <= item.revision()) last = item;
+  for (const ChangedItem& item : changes.items) {
+    ChangedItem& last = m_recent[item.key];
+    if (last.revision <= item.revision) last = item;
   }
   while (m_recent.size() > kMaxRecentChanges) {
     const auto oldest = std::min_element(
         m_recent.begin(), m_recent.end(), [](const auto& a, const auto& b) {
-          return a.second.revision() < b.second.revision();
+          return a.second.revision < b.second.revision;
         });
-    m_recent_since = std::max(m_recent_since, oldest->second.revision());
+    m_recent_since = std::max(m_recent_since, oldest->second.revision);
     m_recent.erase(oldest);
   }
 }
@@ -128,37 +128,54 @@
   subscriber.send = reply;
   subscriber.last_renewed = now;
   subscriber.revision = subscribe.view().directory_revision();
+  subscriber.wants_changes = subscribe.wants_changes();
   if (is_new) UpdateReadMode(now);
   if (is_new || subscriber.revision < m_store->View().directory_revision()) {
-    Report(&subscriber, now);
+    Report(&subscriber, true, now);
   }
 }
 
-void FleetStateExchange::Report(Subscriber* subscriber, TimePoint now) {
+void FleetStateExchange::Report(Subscriber* subscriber, bool with_changes,
+                                TimePoint now) {
   const uint64_t revision = m_store->View().directory_revision();
   subscriber->last_sent = now;
   relay::Frame frame;
-  if (subscriber->revision < revision &&
-      (m_recent_since == 0 || subscriber->revision < m_recent_since)) {
-    *frame.mutable_snapshot() = m_store->MakeSnapshot();
-    subscriber->send(frame);
-    frame.Clear();
-    subscriber->revision = revision;
-  }
   relay::Feed* feed = frame.mutable_feed();
   feed->set_is_current(m_store->IsWatching());
-  feed->set_from_revision(std::min(subscriber->revision, revision));
+  feed->set_from_revision(revision);
   feed->set_to_revision(revision);
   feed->set_renewal_left_us(ToMicroseconds(m_store->RenewalLeft(now)));
-  if (subscriber->revision < revision) {
-    for (const auto& [key, item] : m_recent) {
-      if (item.revision() > subscriber->revision) *feed->add_changes() = item;
+  const uint64_t known = subscriber->revision;
+  if (with_changes && known < revision) {
+    subscriber->revision = revision;
+    if (m_recent_since > 0 && known >= m_recent_since) {
+      feed->set_from_revision(known);
+      AddChanges(known, feed);
+    } else {
+      relay::Frame snapshot;
+      *snapshot.mutable_snapshot() = m_store->MakeSnapshot();
+      subscriber->send(snapshot);
     }
   }
-  subscriber->revision = std::max(subscriber->revision, revision);
   subscriber->send(frame);
 }
 
+void FleetStateExchange::AddChanges(uint64_t since, relay::Feed* feed) const {
+  for (const auto& [key, change] : m_recent) {
+    if (change.revision <= since) continue;
+    const auto item =
+        change.removed ? std::nullopt : m_store->FindItem(change.key);
+    relay::Item* added = feed->add_changes();
+    if (item) {
+      *added = *item;
+      continue;
+    }
+    added->set_key(change.key);
+    added->set_revision(change.revision);
+    added->set_removed(true);
+  }
+}
+
 void FleetStateExchange::OnFeed(const SocketAddress& node,
                                 const relay::Feed& feed, TimePoint now) {
   Provider* provider = FindProvider(node);
@@ -169,16 +186,18 @@
                              feed.renewal_left_us(),
                              ToMicroseconds(ServerDirectory::kRenewalGrace))),
                          now);
-  if (feed.to_revision() > m_store->View().directory_revision()) {
-    FleetStateChanges changes{feed.from_revision(), feed.to_revision(), {}};
-    changes.items.assign(feed.changes().begin(), feed.changes().end());
-    // The next subscription states what is known here, and the provider sends
-    // the rest.
-    if (!m_store->ApplyChanges(changes, now)) {
-      RenewSubscription(provider, now);
+  const uint64_t known = m_store->View().directory_revision();
+  if (feed.to_revision() > known) {
+    if (feed.from_revision() > known) {
+      if (!provider->announced) provider->announced = now;
       return;
     }
+    m_store->ApplyFeed(feed, now);
+    // Applying changes may have replaced the providers.
+    provider = FindProvider(node);
+    if (provider == nullptr) return;
   }
+  provider->announced.reset();
   // A provider that knows less than this node misses changes.
   const bool is_current =
       feed.is_current() &&
@@ -213,34 +232,39 @@
     m_readers.Avoid(provider.node, now);
   }
   const std::vector<SocketAddress> selected = m_readers.Select(now);
-  std::erase_if(m_providers, [&selected](const Provider& provider) {
-    return std::find(selected.begin(), selected.end(), provider.node) ==
-           selected.end();
-  });
+  // In the order of preference; see RenewSubscription().
+  std::vector<Provider> providers;
   for (const SocketAddress& node : selected) {
-    if (FindProvider(node) != nullptr) continue;
-    Provider provider;
-    provider.node = node;
-    provider.selected = now;
-    m_providers.push_back(provider);
+    const Provider* known = FindProvider(node);
+    providers.push_back(known != nullptr ? *known : Provider{node, now});
   }
+  m_providers = std::move(providers);
   for (Provider& provider : m_providers) {
     const bool is_up = m_transport->KeepConnected(provider.node, now);
     if (!is_up) {
       provider.is_subscribed = false;
-    } else if (!provider.is_subscribed ||
-               now - provider.last_subscribed >= kSubscribePeriod) {
+    } else if (!provider.is_subscribed || IsOverdue(provider, now)) {
       RenewSubscription(&provider, now);
     }
   }
   UpdateReadMode(now);
 }
 
+bool FleetStateExchange::IsOverdue(const Provider& provider, TimePoint now) {
+  return now - provider.last_subscribed >= kSubscribePeriod ||
+         (provider.announced && now - *provider.announced >= kAnnouncedWait);
+}
+
 void FleetStateExchange::RenewSubscription(Provider* provider, TimePoint now) {
   provider->is_subscribed = true;
   provider->last_subscribed = now;
+  provider->announced.reset();
   relay::Frame frame;
   frame.mutable_subscribe()->set_incarnation(m_incarnation);
+  // Only one provider sends large changes; it is in the same failure domain if
+  // possible.
+  frame.mutable_subscribe()->set_wants_changes(provider ==
+                                               &m_providers.front());
   *frame.mutable_subscribe()->mutable_view() = m_store->View();
   m_transport->SendToNode(provider->node, frame);
 }
@@ -322,7 +346,9 @@
     return now - item.second.last_renewed >= kSubscriptionLifetime;
   });
   for (auto& [incarnation, subscriber] : m_subscribers) {
-    if (now - subscriber.last_sent >= kReportPeriod) Report(&subscriber, now);
+    if (now - subscriber.last_sent >= kReportPeriod) {
+      Report(&subscriber, false, now);
+    }
   }
   UpdateProviders(now);
 }
--- a/Source/relay/fleet_state_exchange.h
+++ b/Source/relay/fleet_state_exchange.h
@@ -68,6 +68,8 @@
     TimePoint last_subscribed;
     bool is_subscribed = false;
     bool is_current = false;
+    // When it announced changes that this node does not know yet.
+    std::optional<TimePoint> announced;
   };
   // A node that takes reports from this one.
   struct Subscriber {
@@ -75,6 +77,7 @@
     TimePoint last_renewed;
     TimePoint last_sent;
     uint64_t revision = 0;
+    bool wants_changes = false;
   };
   // A peer that knows more than this node.
   struct NewerNode {
@@ -89,8 +92,10 @@
   void OnFeed(const SocketAddress& node, const relay::Feed& feed,
               TimePoint now);
   void OnSnapshot(const relay::Snapshot& snapshot, TimePoint now);
-  // Sends what the subscriber does not know yet.
-  void Report(Subscriber* subscriber, TimePoint now);
+  // Sends a report with the changes that the subscriber does not know yet, or
+  // without them.
+  void Report(Subscriber* subscriber, bool with_changes, TimePoint now);
+  void AddChanges(uint64_t since, relay::Feed* feed) const;
   void RememberChanges(const FleetStateChanges& changes);
   void UpdateProviders(TimePoint now);
   void RenewSubscription(Provider* provider, TimePoint now);
@@ -99,6 +104,8 @@
   void CheckNewerNode(TimePoint now);
   relay::Frame MakeSnapshotRequest() const;
   Provider* FindProvider(const SocketAddress& node);
+  // Whether the subscription must be renewed.
+  static bool IsOverdue(const Provider& provider, TimePoint now);
   static bool IsAlive(const Provider& provider, TimePoint now);
 
   // Period of snapshot requests while the platform cannot be read.
@@ -114,6 +121,8 @@
   // provider counts as failed.
   static constexpr Duration kReportPeriod = std::chrono::milliseconds(400);
   static constexpr Duration kProviderTimeout = std::chrono::milliseconds(1200);
+  // Time for announced changes to arrive from the preferred provider.
+  static constexpr Duration kAnnouncedWait = std::chrono::milliseconds(100);
   // Time for a provider to send its first report before this node reads for
   // itself.
   static constexpr Duration kFirstReportTime = std::chrono::milliseconds(800);
@@ -129,7 +138,7 @@
   // By incarnation.
   std::map<uint64_t, Subscriber> m_subscribers;
   // The last change of each key since m_recent_since.
-  std::map<std::string, relay::Item> m_recent;
+  std::map<std::string, ChangedItem> m_recent;
   uint64_t m_recent_since = 0;
   std::optional<NewerNode> m_newer_node;
   ReadMode m_mode = ReadMode::kReader;
--- a/Source/relay/fleet_state_store.h
+++ b/Source/relay/fleet_state_store.h
@@ -3,6 +3,8 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
+#include <string>
 #include <vector>
 
 #include "base/base.h"
@@ -16,11 +18,17 @@
          view.config_version() > other.config_version();
 }
 
-// Changes that bring a state of revision `from` to revision `to`.
+struct ChangedItem {
+  std::string key;
+  uint64_t revision = 0;
+  bool removed = false;
+};
+
+// Changes that brought a state of revision `from` to revision `to`.
 struct FleetStateChanges {
   uint64_t from = 0;
   uint64_t to = 0;
-  std::vector<relay::Item> items;
+  std::vector<ChangedItem> items;
 };
 
 // How a node learns of changes.
@@ -60,11 +68,16 @@
   }
   // Whether this node watches the platform and misses no change.
   virtual bool IsWatching() const { return !IsPlatformUnreachable(); }
-  // Returns false if the changes do not follow the state of this node.
-  virtual bool ApplyChanges(const FleetStateChanges& changes, TimePoint now) {
-    (void)changes;
+  // Applies the changes of a feed that begins at or before the revision of this
+  // node.
+  virtual void ApplyFeed(const relay::Feed& feed, TimePoint now) {
+    (void)feed;
     (void)now;
-    return false;
+  }
+  // The current value of a key; nullopt if there is none.
+  virtual std::optional<relay::Item> FindItem(const std::string& key) const {
+    (void)key;
+    return std::nullopt;
   }
   // A node that watches the platform has reported that nothing is missing here.
   virtual void OnConfirmedCurrent(TimePoint now) { (void)now; }
--- a/Tests/fleet_state_test.cc
+++ b/Tests/fleet_state_test.cc
@@ -4,7 +4,9 @@
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <deque>
+#include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -104,14 +106,17 @@
 // The platform's store with its revision and one value for each key.
 struct FakePlatform {
   uint64_t revision = 1;
-  std::vector<relay::Item> log;
+  std::vector<ChangedItem> log;
   size_t calls = 0;
 
   void Change(const std::string& key) {
-    relay::Item item;
-    item.set_key(key);
-    item.set_revision(++revision);
-    log.push_back(item);
+    log.push_back({key, ++revision, false});
+  }
+  // Revision of the last change of each key.
+  std::map<std::string, uint64_t> LastChanges() const {
+    std::map<std::string, uint64_t> last;
+    for (const ChangedItem& change : log) last[change.key] = change.revision;
+    return last;
   }
 };
 
@@ -181,10 +186,29 @@
     // A watch that hangs does not show that it is cut off.
     return m_mode != ReadMode::kFromPeers;
   }
-  bool ApplyChanges(const FleetStateChanges& changes, TimePoint now) override {
-    if (changes.from > m_revision) return false;
-    Advance(changes.to, now);
-    return true;
+  void ApplyFeed(const relay::Feed& feed, TimePoint now) override {
+    BOOST_TEST(feed.from_revision() <= m_revision);
+    std::set<uint64_t> changed;
+    for (const relay::Item& item : feed.changes()) {
+      changed.insert(item.revision());
+    }
+    // The last change of each key must have been sent.
+    for (const auto& [key, revision] : m_platform->LastChanges()) {
+      if (revision > m_revision && revision <= feed.to_revision()) {
+        BOOST_TEST(changed.contains(revision));
+      }
+    }
+    Advance(feed.to_revision(), now);
+  }
+  std::optional<relay::Item> FindItem(const std::string& key) const override {
+    relay::Item item;
+    item.set_key(key);
+    for (const ChangedItem& change : m_platform->log) {
+      if (change.key == key && change.revision <= m_revision) {
+        item.set_revision(change.revision);
+      }
+    }
+    return item;
   }
 
   // Whether the platform answers this node.
@@ -208,8 +232,8 @@
   void Advance(uint64_t revision, TimePoint now) {
     if (revision <= m_revision) return;
     FleetStateChanges changes{m_revision, revision, {}};
-    for (const relay::Item& item : m_platform->log) {
-      if (item.revision() > m_revision && item.revision() <= revision) {
+    for (const ChangedItem& item : m_platform->log) {
+      if (item.revision > m_revision && item.revision <= revision) {
         changes.items.push_back(item);
       }
     }
