Relay: Give retries to the most important rank first; return within the objective

Change: rank 0 comes before chains in progress; without a queue Retry-After is a tenth of the objective (10 to 100 ms) and as much jitter.

--- a/Source/relay/reader_selection.cc
+++ b/Source/relay/reader_selection.cc
@@ -1,10 +1,29 @@
 #include "relay/reader_selection.h"
 
 #include <algorithm>
+#include <cstdint>
 #include <set>
 #include <tuple>
 
 namespace vanillatiller {
+namespace {
+
+// Where a reader is, the preferred place first.
+enum class Place : uint8_t { kOwnDomain, kOwnRegion, kOtherRegion };
+
+// The reader of one failure domain.
+struct RankedReader {
+  Place place = Place::kOtherRegion;
+  // Spreads the nodes over the readers of a place.
+  uint64_t hash = 0;
+  const FleetNode* node = nullptr;
+
+  static bool IsBefore(const RankedReader& a, const RankedReader& b) {
+    return std::tie(a.place, a.hash) < std::tie(b.place, b.hash);
+  }
+};
+
+}  // namespace
 
 void ReaderSelection::Avoid(const SocketAddress& node, TimePoint now) {
   std::erase_if(m_avoided_until,
@@ -35,35 +54,30 @@
 std::vector<SocketAddress> ReaderSelection::Select(TimePoint now) const {
   std::set<std::string_view> domains;
   for (const FleetNode& node : m_nodes) domains.insert(node.failure_domain);
-  // The reader of each domain with its rank; the lowest rank is preferred.
-  std::vector<std::tuple<int, uint64_t, const FleetNode*>> readers;
+  std::vector<RankedReader> readers;
   const uint64_t own_hash = HashBytes(m_own.address.ToString());
   for (const std::string_view domain : domains) {
     const FleetNode* reader = ReaderOf(domain, now);
     if (reader == nullptr || reader->address == m_own.address) continue;
-    int rank = 2;
-    if (reader->region == m_own.region) rank = 1;
-    if (domain == m_own.failure_domain) rank = 0;
-    readers.emplace_back(rank, MixHash(own_hash, HashBytes(domain)), reader);
+    Place place = Place::kOtherRegion;
+    if (reader->region == m_own.region) place = Place::kOwnRegion;
+    if (domain == m_own.failure_domain) place = Place::kOwnDomain;
+    readers.push_back({place, MixHash(own_hash, HashBytes(domain)), reader});
   }
-  std::sort(readers.begin(), readers.end());
-  std::vector<SocketAddress> selected;
-  for (const auto& [rank, hash, reader] : readers) {
-    // One reader of each rank, so that feeds come from different places.
-    const bool is_first_of_rank =
-        selected.empty() ||
-        std::none_of(readers.begin(), readers.end(), [&](const auto& other) {
-          return std::get<0>(other) == rank && std::get<1>(other) < hash;
-        });
-    if (is_first_of_rank) selected.push_back(reader->address);
-    if (selected.size() == kMaxFeeds) return selected;
+  std::sort(readers.begin(), readers.end(), &RankedReader::IsBefore);
+  // The first reader of each place comes first, so that feeds come from
+  // different places.
+  std::vector<RankedReader> first;
+  std::vector<RankedReader> others;
+  for (const RankedReader& reader : readers) {
+    const bool is_first = first.empty() || first.back().place != reader.place;
+    (is_first ? first : others).push_back(reader);
   }
-  for (const auto& [rank, hash, reader] : readers) {
+  first.insert(first.end(), others.begin(), others.end());
+  std::vector<SocketAddress> selected;
+  for (const RankedReader& reader : first) {
     if (selected.size() == kMaxFeeds) break;
-    if (std::find(selected.begin(), selected.end(), reader->address) ==
-        selected.end()) {
-      selected.push_back(reader->address);
-    }
+    selected.push_back(reader.node->address);
   }
   return selected;
 }
--- a/Source/relay/request_router.cc
+++ b/Source/relay/request_router.cc
@@ -370,7 +370,7 @@
 
 bool RequestRouter::SpendRetry(const Request& request, TimePoint now) {
   const double standing =
-      RetryPriority(request.is_continuation, request.shed_hash);
+      RetryPriority(request.rank, request.is_continuation, request.shed_hash);
   if (RetryBudgetFor(request.service, now).TrySpend(standing, now)) {
     ++m_metrics->retries;
     return true;
@@ -429,14 +429,15 @@
   if (wait == Duration::max()) wait = Duration::zero();
   HttpResponse response;
   response.status = kUnavailable;
-  AddRetryAfter(&response, wait, request->deadline - now);
+  AddRetryAfter(&response, wait, request->deadline - now,
+                request->route->route().objective);
   Answer(request, response, "refused", code, now);
 }
 
 void RequestRouter::AddRetryAfter(HttpResponse* response, Duration wait,
-                                  Duration time_left) {
+                                  Duration time_left, Duration objective) {
   boost::random::uniform_01<double> draw;
-  const Duration after = RetryAfter(wait, time_left, draw(m_random));
+  const Duration after = RetryAfter(wait, time_left, objective, draw(m_random));
   response->headers.Add(
       m_names->retry_after,
       absl::StrFormat("%.3f", std::chrono::duration<double>(after).count()));
@@ -485,7 +486,8 @@
   HttpResponse response;
   response.status = m_routes ? kNotFound : kUnavailable;
   if (!m_routes) {
-    AddRetryAfter(&response, kRestartTime, TimeLeft(request, kDefaultTimeLeft));
+    AddRetryAfter(&response, kRestartTime, TimeLeft(request, kDefaultTimeLeft),
+                  kRestartTime);
   }
   ++m_metrics->answers[response.status];
   m_log->Write(
--- a/Source/relay/request_router.h
+++ b/Source/relay/request_router.h
@@ -110,7 +110,8 @@
   void Refuse(const RequestPtr& request, RefusalCode code, Duration wait,
               TimePoint now);
   // Adds the time after which a refused caller may retry.
-  void AddRetryAfter(HttpResponse* response, Duration wait, Duration time_left);
+  void AddRetryAfter(HttpResponse* response, Duration wait, Duration time_left,
+                     Duration objective);
   void Fail(const RequestPtr& request, int status, RefusalCode code,
             TimePoint now);
   void Answer(const RequestPtr& request, const HttpResponse& response,
--- a/Tests/pipelining_test.cc
+++ b/Tests/pipelining_test.cc
@@ -215,6 +215,26 @@
   BOOST_TEST(Received("body-b"));
 }
 
+// Requests arrive on kept connections in the moment of a planned stop, before
+// callers can have noticed it. All of them must be answered.
+BOOST_FIXTURE_TEST_CASE(PlannedStopAnswersRequestsOfTheSameMoment,
+                        PipeliningFixture) {
+  client.Write(RequestText("GET", "/ok", "kept"));
+  BOOST_TEST_REQUIRE(RunUntilAnswered(1));
+  client.Write(RequestText("GET", "/ok", "a") + RequestText("GET", "/ok", "b") +
+               RequestText("POST", "/once/ok", "c", "body"));
+  RawClient fresh(&pair.loop, pair.front_settings.caller_listener);
+  fresh.Write(RequestText("POST", "/once/ok", "d", "body"));
+  bool is_stopped = false;
+  pair.front->Stop([&is_stopped] { is_stopped = true; }, BootClock::now());
+  BOOST_TEST_REQUIRE(RunUntil(&pair.loop, [&] { return is_stopped; }));
+  BOOST_TEST(CountResponses() == 4U);
+  for (const char* body : {"body-a", "body-b", "body-c"}) {
+    BOOST_TEST(Received(body));
+  }
+  BOOST_TEST(fresh.received.find("body-d") != std::string::npos);
+}
+
 // The client leaves: all of its requests are cancelled, not only the first.
 BOOST_FIXTURE_TEST_CASE(DisconnectCancelsAllRequests, PipeliningFixture) {
   client.Write(RequestText("GET", "/hold", "a") +
--- a/Tests/platform/platform_test.cc
+++ b/Tests/platform/platform_test.cc
@@ -19,6 +19,7 @@
 ip = "10.1.0.8"
 zone = "z1"
 region = "r1"
+bootstrap = true
 bounds = ["grace_s=6","retry_budget_ratio=0.2"]
 app_addr = "10.1.0.8:8301"
 service = "work"
@@ -45,6 +46,7 @@
   BOOST_TEST(settings->relay.locality.regions.at("z2") == "r2");
   BOOST_TEST((settings->relay.stop_grace == std::chrono::seconds(6)));
   BOOST_TEST(settings->store.ToString() == "10.200.1.7:8309");
+  BOOST_TEST(settings->is_fleet_start);
 }
 
 BOOST_AUTO_TEST_CASE(ReportsAllSettingsErrors) {
@@ -343,7 +345,7 @@
                   R"(],"more_pages":false,"current_rev":10})"}}},
       {"/-/kv-key", {{200, Item("op/config", ConfigVersion(7), 12)}}},
   };
-  client.Start(BootClock::now());
+  client.Start(false, BootClock::now());
   BOOST_TEST(RunUntil(&pair.loop, [&] { return HasWatched(10); }));
   BOOST_TEST(RunUntil(&pair.loop, [&] { return ActiveConfigVersion() == 7; }));
 }
@@ -363,7 +365,7 @@
         {503, ""},
         {410, ""}}},
   };
-  client.Start(BootClock::now());
+  client.Start(false, BootClock::now());
   BOOST_TEST(RunUntil(&pair.loop, [&] { return ActiveConfigVersion() == 9; }));
   BOOST_TEST_CONTEXT("after 503 and 410, everything is read again") {
     BOOST_TEST(RunUntil(&pair.loop, [&] {
@@ -388,7 +390,7 @@
         {200, Item("op/config", ConfigVersion(9), 45)}}},
       {"/-/kv-watch", {{503, ""}}},
   };
-  client.Start(BootClock::now());
+  client.Start(false, BootClock::now());
   BOOST_TEST_REQUIRE(
       RunUntil(&pair.loop, [&] { return store.script[2].second.empty(); }));
   relay::Snapshot snapshot;
@@ -421,7 +423,7 @@
   Peer peer;
   pair.back->SetFleetStateStore(&peer);
   pair.front->SetFleetStateStore(&client);
-  client.Start(BootClock::now());
+  client.Start(false, BootClock::now());
   BOOST_TEST_REQUIRE(RunUntil(&pair.loop, [&] { return HasWatched(10); }));
   // The list read from the store contains no server.
   pair.AddServer("server-2", 11);
@@ -444,7 +446,7 @@
                   R"(],"more_pages":true,"current_rev":10})"}}},
       {"/-/kv-key", {{404, ""}}},
   };
-  client.Start(BootClock::now());
+  client.Start(false, BootClock::now());
   BOOST_TEST(RunUntil(&pair.loop, [&] { return HasWatched(10); }));
 }
 
@@ -464,7 +466,7 @@
                   Item("servers/i-1", WithSlots("-5"), 12) +
                   R"(],"current_rev":12})"}}},
   };
-  client.Start(BootClock::now());
+  client.Start(false, BootClock::now());
   BOOST_TEST_REQUIRE(RunUntil(&pair.loop, [&] { return HasWatched(12); }));
   BOOST_TEST(client.MakeSnapshot().servers_size() == 0);
   BOOST_TEST(pair.front->metrics()->platform_values_ignored == 3U);
@@ -481,7 +483,7 @@
               R"("more_pages":true,"current_rev":10})"}}},
       {"/-/kv-key", {{404, ""}}},
   };
-  client.Start(BootClock::now());
+  client.Start(false, BootClock::now());
   BOOST_TEST(RunUntil(&pair.loop, [&] { return HasWatched(10); }));
 }
 
@@ -497,7 +499,7 @@
       {"/-/kv-key", {{404, ""}, {404, ""}}},
       {"/-/kv-watch", {{200, std::string(size_t{9} << 20, ' ')}}},
   };
-  client.Start(BootClock::now());
+  client.Start(false, BootClock::now());
   BOOST_TEST(RunUntil(&pair.loop, [&] { return HasWatched(20); }));
 }
 
--- a/Tests/relay_decisions_test.cc
+++ b/Tests/relay_decisions_test.cc
@@ -128,14 +128,33 @@
   Duration first = Duration::max();
   Duration last{};
   for (int i = 0; i < 100; ++i) {
-    const Duration after = RetryAfter(wait, seconds(5), i / 100.0);
+    const Duration after = RetryAfter(wait, seconds(5), seconds(1), i / 100.0);
     first = std::min(first, after);
     last = std::max(last, after);
     BOOST_TEST((after >= wait));
   }
   BOOST_TEST((last - first >= wait * 9 / 10));
-  BOOST_TEST((RetryAfter(seconds(60), seconds(2), 0.9) <= milliseconds(500)));
-  BOOST_TEST((RetryAfter(Duration::zero(), seconds(2), 0) > Duration::zero()));
+  BOOST_TEST((RetryAfter(seconds(60), seconds(2), seconds(1), 0.9) <=
+              milliseconds(500)));
+  BOOST_TEST((RetryAfter(Duration::zero(), seconds(2), seconds(1), 0) >
+              Duration::zero()));
+}
+
+// A server without a queue refuses some requests at random. A caller whose
+// objective is 200 ms was told to wait 100 to 200 ms, so that its second
+// attempt was late even if accepted at once.
+BOOST_AUTO_TEST_CASE(RefusedWithoutQueueMayReturnWithinItsObjective) {
+  const Duration objective = milliseconds(200);
+  for (const double draw : {0.0, 0.5, 0.99}) {
+    const Duration after =
+        RetryAfter(Duration::zero(), milliseconds(800), objective, draw);
+    BOOST_TEST((after >= milliseconds(10)));
+    BOOST_TEST((after <= objective / 4));
+  }
+  BOOST_TEST_CONTEXT("a queue takes its time, whatever the objective") {
+    BOOST_TEST((RetryAfter(milliseconds(150), seconds(5), objective, 0) >=
+                milliseconds(150)));
+  }
 }
 
 // A request that makes several calls in sequence, some of which were answered.
@@ -189,6 +208,42 @@
   return static_cast<double>(served) / made;
 }
 
+// Simulates the same service with requests of the most important rank beside
+// the chains: 200 a second, each a single call. Returns the fraction of them
+// that is served.
+template <typename Priority>
+double UrgentFractionInBrownout(Priority priority) {
+  constexpr double kShed = 0.55;
+  constexpr int kChainsPerSecond = 800;
+  constexpr int kUrgentPerSecond = 200;
+  const TimePoint start{seconds(1000)};
+  const TimePoint fault = start + seconds(12);
+  std::mt19937_64 random(11);
+  std::uniform_real_distribution<double> draw(0, 1);
+  WindowBudget budget({0.18, 1, seconds(10)}, start);
+  int made = 0;
+  int served = 0;
+  constexpr int kPerSecond = kChainsPerSecond + kUrgentPerSecond;
+  for (int i = 0; i < 20 * kPerSecond; ++i) {
+    const TimePoint now = start + i * milliseconds(1000) / kPerSecond;
+    const bool is_urgent = i % (kPerSecond / kUrgentPerSecond) == 0;
+    const bool is_in_progress = !is_urgent && i % 2 == 0;
+    const bool is_fault = now >= fault;
+    const auto hash = static_cast<uint32_t>(random());
+    budget.RecordRequest(now);
+    bool is_answered = !is_fault || draw(random) >= kShed;
+    if (!is_answered &&
+        budget.TrySpend(priority(is_urgent ? 0U : 1U, is_in_progress, hash),
+                        now)) {
+      is_answered = draw(random) >= kShed;
+    }
+    if (!is_urgent || !is_fault) continue;
+    ++made;
+    served += is_answered ? 1 : 0;
+  }
+  return static_cast<double>(served) / made;
+}
+
 // Simulates requests of two ranks, each of which calls a single-server service
 // five times in sequence.
 class ChainedLoad {
@@ -399,10 +454,27 @@
 BOOST_AUTO_TEST_CASE(RetryPriorityCompletesMoreRequestsInABrownout) {
   const double by_arrival =
       CompletedFractionInBrownout([](bool, uint32_t) { return 0.0; });
-  const double by_priority = CompletedFractionInBrownout(RetryPriority);
+  const double by_priority =
+      CompletedFractionInBrownout([](bool is_in_progress, uint32_t shed_hash) {
+        return RetryPriority(1, is_in_progress, shed_hash);
+      });
   BOOST_TEST_MESSAGE("served " << by_arrival << " and " << by_priority);
   BOOST_TEST(by_priority > by_arrival * 9 / 8);
 }
 
+// Calls of chains in progress took the whole retry budget of a service that
+// refuses half of its calls. Urgent requests, which need one call, got no
+// retry. With one retry for each, 0.45 + 0.55 * 0.45 of them are served.
+BOOST_AUTO_TEST_CASE(UrgentRequestsGetRetriesFirstInABrownout) {
+  const double without_rank = UrgentFractionInBrownout(
+      [](uint32_t, bool is_in_progress, uint32_t shed_hash) {
+        return RetryPriority(1, is_in_progress, shed_hash);
+      });
+  const double by_rank = UrgentFractionInBrownout(RetryPriority);
+  BOOST_TEST_MESSAGE("served " << without_rank << " and " << by_rank);
+  BOOST_TEST(by_rank > without_rank * 9 / 8);
+  BOOST_TEST(by_rank > 0.95 * (0.45 + 0.55 * 0.45));
+}
+
 }  // namespace
 }  // namespace vanillatiller
--- a/Utilities/fuzz.sh
+++ b/Utilities/fuzz.sh
@@ -2,11 +2,15 @@
 # Builds the fuzz targets with clang and runs each one a fixed number of times,
 # with a fixed seed and the committed corpus.
 #   Utilities/fuzz.sh [BUILD_DIR [RUNS]]
+# ONLY="NAME..." restricts the run to the named fuzzers.
 set -eu
 cd "$(dirname "$0")/.."
 build=${1:-build-fuzz}
 runs=${2:-200000}
-fuzzers=(fuzz_ticket fuzz_call_context fuzz_fleet_config)
+fuzzers=(fuzz_ticket fuzz_call_context fuzz_fleet_config fuzz_http_session
+  fuzz_peer_frame fuzz_store_values)
+# shellcheck disable=SC2206
+[ -n "${ONLY:-}" ] && fuzzers=($ONLY)
 cmake -S . -B "$build" -G Ninja -DCMAKE_CXX_COMPILER=clang++ \
   -DVANILLATILLER_FUZZERS=ON -DVANILLATILLER_TESTS=OFF >/dev/null
 cmake --build "$build" -j4 --target "${fuzzers[@]}"
