Tests: Let changes come out of step with subscriptions

CallsDoNotGrowWithTheFleet passed with no change reported at once, as a change came each second just before the subscriptions that bring it.

--- a/Tests/fleet_state_test.cc
+++ b/Tests/fleet_state_test.cc
@@ -371,7 +371,8 @@
         // Sooner than the next subscription, which would report it, too.
         fleet.Run(milliseconds(300));
         BOOST_TEST(fleet.AllKnowNewest());
-        fleet.Run(milliseconds(700));
+        // Not a multiple of the period of subscriptions.
+        fleet.Run(milliseconds(770));
       }
       BOOST_TEST(fleet.platform.calls - before <= 60U);
     }
