Relay: Take a call for not run only on the word of its receiver

Cause: after a reconnection the peer says "not run" of each pending call that it has no record of. This holds only for the process that the call was sent to. PeerClient compared the incarnation in Hello with the last one seen; if the first connection was lost before its Hello, there was none, and a restarted process counted as the receiver.

Ruled out: reading connections out of order (latest_connection), discarded answers (reported as unknown), the server's own refusals (not involved: the server ran the request).

Change: Hello carries the time for which its sender has accepted connections. A process vouches for a call if Hello on the connection that carried the call named it, or if it has been running since before that connection was begun. The time is subtracted from the time of receipt, so that delays and clock drift err towards "unknown". All other calls that were sent end as unknown. A call whose connection is lost before Hello while the process lives on still gets its answer.

--- a/Source/relay/call_result.cc
+++ b/Source/relay/call_result.cc
@@ -24,12 +24,6 @@
   return Outcome::kUnknown;
 }
 
-// Larger values would overflow the clock.
-Duration ClampedMicroseconds(uint64_t us) {
-  constexpr uint64_t kDayUs = uint64_t{24} * 3600 * 1000 * 1000;
-  return std::chrono::microseconds(std::min(us, kDayUs));
-}
-
 }  // namespace
 
 void EncodeHeaders(const HttpHeaders& headers,
@@ -50,6 +44,10 @@
   return headers;
 }
 
+Duration ClampedMicroseconds(uint64_t us) {
+  return std::chrono::microseconds(std::min(us, ToMicroseconds(kMaxCallTime)));
+}
+
 Duration TimeLeft(const relay::Call& call) {
   return ClampedMicroseconds(call.time_left_us());
 }
--- a/Source/relay/call_result.h
+++ b/Source/relay/call_result.h
@@ -10,6 +10,9 @@
 
 namespace vanillatiller {
 
+// Longest time for which a call can be pending.
+inline constexpr Duration kMaxCallTime = std::chrono::hours(24);
+
 // Result of one attempt. Outcome::kComplete means that the server answered,
 // with any status; Outcome::kNotRun is set only if it is proved that the call
 // did not run.
@@ -31,9 +34,11 @@
 
 relay::Answer EncodeAnswer(uint64_t id, const CallResult& result);
 CallResult DecodeAnswer(const relay::Answer& answer);
-// Time left of a call, at most a day: the sender may be faulty, and larger
-// values would overflow the clock.
+// Time left of a call.
 Duration TimeLeft(const relay::Call& call);
+// Decodes a duration sent by another node, at most kMaxCallTime: the sender may
+// be faulty, and larger values would overflow the clock.
+Duration ClampedMicroseconds(uint64_t us);
 relay::Load EncodeLoad(const PeerLoad& load);
 PeerLoad DecodeLoad(const relay::Load& load);
 
--- a/Source/relay/peer_client.cc
+++ b/Source/relay/peer_client.cc
@@ -21,7 +21,7 @@
   pending.idempotent = call.idempotent();
   if (m_is_up) {
     if (m_pending_calls.size() == 1) m_last_probe = m_last_received = now;
-    pending.connection = m_connection_number;
+    MarkSent(&pending);
     m_connection->Write(EncodeFrame(frame));
     return;
   }
@@ -29,6 +29,12 @@
   if (!m_connection) Connect(now);
 }
 
+void PeerClient::MarkSent(PendingCall* pending) const {
+  pending->connection = m_connection_number;
+  pending->connection_began = m_connect_started;
+  pending->receiver = m_is_peer_known ? m_peer_incarnation : 0;
+}
+
 void PeerClient::Cancel(uint64_t id) {
   const auto found = m_pending_calls.find(id);
   if (found == m_pending_calls.end()) return;
@@ -52,6 +58,7 @@
 
 void PeerClient::Connect(TimePoint now) {
   m_reader = {};
+  m_is_peer_known = false;
   m_connect_started = now;
   m_connection = TcpConnection::Connect(m_loop, m_address, this);
 }
@@ -68,7 +75,7 @@
   m_last_received = m_last_probe = now;
   ++m_connection_number;
   relay::Frame frame;
-  *frame.mutable_hello() = m_callbacks.make_hello();
+  *frame.mutable_hello() = m_callbacks.make_hello(now);
   frame.mutable_hello()->set_connection(m_connection_number);
   for (const auto& [id, pending] : m_pending_calls) {
     if (pending.connection != 0) frame.mutable_hello()->add_waiting_calls(id);
@@ -77,7 +84,7 @@
   for (auto& [id, pending] : m_pending_calls) {
     if (pending.connection != 0) continue;
     data += std::exchange(pending.unsent, {});
-    pending.connection = m_connection_number;
+    MarkSent(&pending);
   }
   m_connection->Write(std::move(data));
 }
@@ -124,17 +131,34 @@
 void PeerClient::HandleHello(const relay::Hello& hello, TimePoint now) {
   const uint64_t before =
       std::exchange(m_peer_incarnation, hello.incarnation());
-  if (before == 0 || before == hello.incarnation()) return;
-  m_callbacks.on_connection_event("peer-restarted", now);
-  // The outcome of calls to the earlier process can no longer be determined.
+  if (before != 0 && before != hello.incarnation()) {
+    m_callbacks.on_connection_event("peer-restarted", now);
+  }
+  m_is_peer_known = true;
+  // Hello was sent before `now`, so the process started no later than this.
+  const Duration uptime = ClampedMicroseconds(hello.uptime_us());
+  const TimePoint running_since = now - uptime + uptime / kClockDriftDivisor;
+  m_peer_running_since = before == hello.incarnation()
+                             ? std::min(m_peer_running_since, running_since)
+                             : running_since;
+  for (auto& [id, pending] : m_pending_calls) {
+    if (pending.connection == m_connection_number) {
+      pending.receiver = hello.incarnation();
+    }
+  }
+  // This process has no record of a call that an earlier one received.
   EndCalls(
       [this](const PendingCall& pending) {
-        return pending.connection != 0 &&
-               pending.connection < m_connection_number;
+        return pending.connection != 0 && !CanVouch(pending);
       },
       Outcome::kUnknown, RefusalCode::kUnknownIncarnation, now);
 }
 
+bool PeerClient::CanVouch(const PendingCall& pending) const {
+  if (pending.receiver != 0) return pending.receiver == m_peer_incarnation;
+  return pending.connection_began >= m_peer_running_since;
+}
+
 void PeerClient::HandleAnswer(const relay::Answer& answer, TimePoint now) {
   m_pending_acks.push_back(answer.id());
   if (answer.has_view()) m_callbacks.on_view(answer.view(), now);
--- a/Source/relay/peer_client.h
+++ b/Source/relay/peer_client.h
@@ -22,13 +22,17 @@
 // never received them, which proves that they did not run. A reset or silent
 // connection therefore loses no answer, and a non-idempotent call is never
 // sent twice.
+//
+// Only the process that a call was sent to can tell that the call did not run.
+// The outcome of a call is unknown unless it is proved that the process that
+// answers now is that one; see CanVouch().
 class PeerClient : private TcpHandler {
  public:
   using Done = std::function<void(CallResult, TimePoint now)>;
 
   struct Callbacks {
     // Returns the first message for a new connection.
-    std::function<relay::Hello()> make_hello;
+    std::function<relay::Hello(TimePoint now)> make_hello;
     // The peer reported the platform state versions it knows.
     std::function<void(const relay::View&, TimePoint now)> on_view;
     // The peer reported its load.
@@ -68,6 +72,11 @@
     std::string unsent;
     // Sequence number of the connection used to send the call; 0 if unsent.
     uint64_t connection = 0;
+    // When that connection was begun.
+    TimePoint connection_began;
+    // Incarnation of the process at the other end of that connection; 0 if the
+    // connection was lost before the process had identified itself.
+    uint64_t receiver = 0;
   };
 
   void OnConnected(TimePoint now) override;
@@ -79,6 +88,10 @@
   void OnConnectionLost(bool refused, TimePoint now);
   void HandleFrame(const relay::Frame& frame, TimePoint now);
   void HandleHello(const relay::Hello& hello, TimePoint now);
+  void MarkSent(PendingCall* pending) const;
+  // Whether the process at the other end of the current connection received the
+  // call if any process did.
+  bool CanVouch(const PendingCall& pending) const;
   void HandleAnswer(const relay::Answer& answer, TimePoint now);
   // Completes the calls that match `selects` with the given outcome.
   void EndCalls(const std::function<bool(const PendingCall&)>& selects,
@@ -99,6 +112,9 @@
   static constexpr Duration kSilenceTimeout = std::chrono::milliseconds(1200);
   // Acknowledgements of answers are batched.
   static constexpr size_t kAckBatchSize = 16;
+  // Divisor of a time measured by a peer that gives its largest error: clocks
+  // that are being adjusted run up to 0.05% fast or slow.
+  static constexpr int kClockDriftDivisor = 1000;
 
   EventLoop* m_loop;
   const SocketAddress m_address;
@@ -107,7 +123,12 @@
   FrameReader m_reader;
   bool m_is_up = false;
   uint64_t m_connection_number = 0;
+  // Process that sent the last Hello, and a time at which it already accepted
+  // connections.
   uint64_t m_peer_incarnation = 0;
+  TimePoint m_peer_running_since;
+  // Whether Hello has been received on the current connection.
+  bool m_is_peer_known = false;
   TimePoint m_connect_started;
   TimePoint m_last_received;
   TimePoint m_last_probe;
--- a/Source/relay/peer_server.cc
+++ b/Source/relay/peer_server.cc
@@ -141,7 +141,7 @@
   caller.was_cancelled = false;
   session->incarnation = hello.incarnation();
   relay::Frame reply;
-  *reply.mutable_hello() = m_handler->MakeHello();
+  *reply.mutable_hello() = m_handler->MakeHello(now);
   session->Send(EncodeFrame(reply));
   ResolveWaitingCalls(&caller, hello.incarnation(), hello, now);
 }
@@ -251,6 +251,9 @@
       CancelCalls(
           incarnation, &caller, [](uint64_t) { return true; }, now);
     }
+    if (now - caller.disconnected_at >= kAnswerRetention) {
+      caller.answers.clear();
+    }
     if (now - caller.disconnected_at >= kCallerRetention) {
       gone.push_back(incarnation);
     }
--- a/Source/relay/peer_server.h
+++ b/Source/relay/peer_server.h
@@ -33,7 +33,7 @@
   // Versions of the platform state known to this node.
   virtual relay::View View() const = 0;
   // Returns the first message for a new connection.
-  virtual relay::Hello MakeHello() const = 0;
+  virtual relay::Hello MakeHello(TimePoint now) const = 0;
   // Receives frames unrelated to calls, and a caller's Hello. `reply` sends
   // frames back to the sender.
   virtual void OnPeerFrame(
@@ -92,10 +92,13 @@
 
   // Time without a connection after which a caller's calls are cancelled.
   static constexpr Duration kCallerDisconnectGrace = std::chrono::seconds(2);
-  // Time without a connection after which a caller's state is deleted. Must
-  // exceed the longest time a call can be pending, because calls of an unknown
-  // caller are reported as never received.
-  static constexpr Duration kCallerRetention = std::chrono::minutes(5);
+  // Time without a connection after which a caller's answers are discarded, so
+  // that the outcome of their calls is unknown.
+  static constexpr Duration kAnswerRetention = std::chrono::minutes(5);
+  // Time without a connection after which the caller is forgotten. Must exceed
+  // the longest time a call can be pending, kMaxCallTime, because calls of an
+  // unknown caller are reported as never received.
+  static constexpr Duration kCallerRetention = kMaxCallTime * 2;
   // Maximum number of unacknowledged answers per caller. Beyond it the oldest
   // is discarded, and the outcome of its call is then unknown.
   static constexpr size_t kMaxRetainedAnswers = 64;
--- a/Source/relay/relay.cc
+++ b/Source/relay/relay.cc
@@ -90,7 +90,8 @@
     if (!listener) return false;
     m_listeners.push_back(std::move(listener));
   }
-  OnTick(BootClock::now());
+  m_started = BootClock::now();
+  OnTick(m_started);
   return true;
 }
 
@@ -178,7 +179,7 @@
   std::unique_ptr<PeerClient>& client = m_clients[node];
   if (client) return *client;
   PeerClient::Callbacks callbacks;
-  callbacks.make_hello = [this] { return MakeHello(); };
+  callbacks.make_hello = [this](TimePoint now) { return MakeHello(now); };
   callbacks.on_view = [this, node](const relay::View& view, TimePoint now) {
     m_fleet_state.OnNodeView(node, view, now);
   };
@@ -267,8 +268,9 @@
 
 relay::View Relay::View() const { return m_fleet_state.View(); }
 
-relay::Hello Relay::MakeHello() const {
+relay::Hello Relay::MakeHello(TimePoint now) const {
   relay::Hello hello;
+  hello.set_uptime_us(ToMicroseconds(now - m_started));
   hello.set_incarnation(m_settings.incarnation);
   *hello.mutable_view() = View();
   return hello;
--- a/Source/relay/relay.h
+++ b/Source/relay/relay.h
@@ -101,7 +101,7 @@
   void OnPeerCancel(const PeerCallKey& key, TimePoint now) override;
   PeerLoad Load() const override { return m_executor.Load(); }
   relay::View View() const override;
-  relay::Hello MakeHello() const override;
+  relay::Hello MakeHello(TimePoint now) const override;
   void OnPeerFrame(const relay::Frame& frame,
                    const std::function<void(const relay::Frame&)>& reply,
                    TimePoint now) override;
@@ -152,6 +152,8 @@
   // ID and start time of the local server as last seen.
   std::string m_server_id;
   uint64_t m_server_started_ms = 0;
+  // When the listeners were opened.
+  TimePoint m_started;
   std::function<void()> m_stopped;
   TimePoint m_stop_began;
   TimePoint m_next_periodic_tasks;
--- a/Source/relay/request_router.cc
+++ b/Source/relay/request_router.cc
@@ -147,10 +147,12 @@
   uint64_t left_ms = 0;
   const auto left = http.headers.Find(m_names->time_left_ms);
   if (!left || !absl::SimpleAtoi(std::string(*left), &left_ms)) {
-    return default_value;
+    return std::min(default_value, kMaxCallTime);
   }
   // A larger value would overflow the clock.
-  constexpr uint64_t kMaxLeftMs = uint64_t{24} * 3600 * 1000;
+  constexpr uint64_t kMaxLeftMs =
+      std::chrono::duration_cast<std::chrono::milliseconds>(kMaxCallTime)
+          .count();
   return std::chrono::milliseconds(std::min(left_ms, kMaxLeftMs));
 }
 
--- a/Tests/relay_harness.cc
+++ b/Tests/relay_harness.cc
@@ -153,8 +153,8 @@
 class FaultProxy::Forwarding {
  public:
   Forwarding(EventLoop* loop, std::shared_ptr<TcpConnection> near,
-             const SocketAddress& to)
-      : m_near_side(this, &m_far), m_far_side(this, &m_near) {
+             const SocketAddress& to, Drops* drops)
+      : m_drops(drops), m_near_side(this, &m_far), m_far_side(this, &m_near) {
     m_near = std::move(near);
     m_near->SetHandler(&m_near_side);
     m_far = TcpConnection::Connect(loop, to, &m_far_side);
@@ -181,7 +181,7 @@
       }
     }
     void OnData(std::string_view data, TimePoint) override {
-      if (m_forwarding->m_drops_traffic || !*m_other) return;
+      if (m_forwarding->m_drops_traffic || !*m_other || IsDropped()) return;
       if (!(*m_other)->IsOpen()) {
         m_forwarding->m_buffered += data;
         return;
@@ -196,10 +196,19 @@
     }
 
    private:
+    bool IsDropped() const {
+      Drops* drops = m_forwarding->m_drops;
+      if (m_other != &m_forwarding->m_far) return drops->from_servers;
+      if (drops->from_clients) ++drops->count_from_clients;
+      return drops->from_clients;
+    }
+
     Forwarding* m_forwarding;
     std::shared_ptr<TcpConnection>* m_other;
   };
 
+  Drops* m_drops;
+
   std::shared_ptr<TcpConnection> m_near;
   std::shared_ptr<TcpConnection> m_far;
   Side m_near_side;
@@ -216,8 +225,8 @@
       loop, from,
       [this](std::shared_ptr<TcpConnection> connection, TimePoint) {
         ++m_accepted;
-        m_forwardings.push_back(
-            std::make_shared<Forwarding>(m_loop, std::move(connection), m_to));
+        m_forwardings.push_back(std::make_shared<Forwarding>(
+            m_loop, std::move(connection), m_to, &m_drops));
       },
       &reason);
   BOOST_TEST_REQUIRE((m_listener != nullptr), reason);
@@ -258,6 +267,37 @@
   m_connection.reset();
 }
 
+void RawPeer::OnData(std::string_view data, TimePoint) {
+  m_reader.Append(data);
+  relay::Frame frame;
+  while (m_reader.Next(&frame) == FrameReader::Result::kFrame) {
+    received.push_back(frame);
+  }
+}
+
+relay::Frame HelloFrame(uint64_t connection,
+                        const std::vector<uint64_t>& waiting) {
+  relay::Frame frame;
+  frame.mutable_hello()->set_incarnation(77);
+  frame.mutable_hello()->set_connection(connection);
+  for (const uint64_t id : waiting) {
+    frame.mutable_hello()->add_waiting_calls(id);
+  }
+  return frame;
+}
+
+relay::Frame CallFrame(uint64_t id) {
+  relay::Frame frame;
+  relay::Call* call = frame.mutable_call();
+  call->set_id(id);
+  call->set_server_id("server-1");
+  call->set_declared_slots(2);
+  call->set_method("GET");
+  call->set_target("/ok");
+  call->set_time_left_us(1'000'000);
+  return frame;
+}
+
 std::string RequestText(const std::string& method, const std::string& path,
                         const std::string& id, const std::string& body,
                         const std::string& more_headers) {
--- a/Tests/relay_harness.h
+++ b/Tests/relay_harness.h
@@ -69,14 +69,25 @@
   void Reset();
   // Drops all traffic of the current connections. New connections work.
   void DropTraffic();
+  // Drops what the clients or the servers send, on all connections, while set.
+  void DropFromClients(bool drops) { m_drops.from_clients = drops; }
+  void DropFromServers(bool drops) { m_drops.from_servers = drops; }
   size_t accepted() const { return m_accepted; }
+  // Number of times data was dropped by DropFromClients().
+  size_t dropped_from_clients() const { return m_drops.count_from_clients; }
 
  private:
   class Forwarding;
+  struct Drops {
+    bool from_clients = false;
+    bool from_servers = false;
+    size_t count_from_clients = 0;
+  };
 
   EventLoop* m_loop;
   const SocketAddress m_to;
   std::unique_ptr<TcpListener> m_listener;
+  Drops m_drops;
   std::vector<std::shared_ptr<Forwarding>> m_forwardings;
   size_t m_accepted = 0;
 };
@@ -102,6 +113,34 @@
   std::string m_unsent;
 };
 
+// A connection of a calling node that sends and receives single frames.
+class RawPeer : public TcpHandler {
+ public:
+  RawPeer(EventLoop* loop, const SocketAddress& address)
+      : m_connection(TcpConnection::Connect(loop, address, this)) {}
+  ~RawPeer() override { m_connection->Close(); }
+
+  void Send(const relay::Frame& frame) {
+    m_connection->Write(EncodeFrame(frame));
+  }
+  bool is_up = false;
+  std::vector<relay::Frame> received;
+
+ private:
+  void OnConnected(TimePoint) override { is_up = true; }
+  void OnData(std::string_view data, TimePoint) override;
+  void OnEnd(ConnectionEnd, TimePoint) override {}
+
+  FrameReader m_reader;
+  std::shared_ptr<TcpConnection> m_connection;
+};
+
+// The first frame of a calling node, with the IDs of its pending calls.
+relay::Frame HelloFrame(uint64_t connection,
+                        const std::vector<uint64_t>& waiting);
+// A call of a calling node.
+relay::Frame CallFrame(uint64_t id);
+
 // Returns the text of a request for the test routes; see RelayPair::Send().
 std::string RequestText(const std::string& method, const std::string& path,
                         const std::string& id, const std::string& body = "",
--- a/Tests/relay_test.cc
+++ b/Tests/relay_test.cc
@@ -294,45 +294,6 @@
   BOOST_TEST(RunUntil(&pair.loop, [&] { return is_stopped; }));
 }
 
-// A connection of a calling node that sends and receives single frames.
-class RawPeer : public TcpHandler {
- public:
-  RawPeer(EventLoop* loop, const SocketAddress& address)
-      : m_connection(TcpConnection::Connect(loop, address, this)) {}
-  ~RawPeer() override { m_connection->Close(); }
-
-  void Send(const relay::Frame& frame) {
-    m_connection->Write(EncodeFrame(frame));
-  }
-  bool is_up = false;
-  std::vector<relay::Frame> received;
-
- private:
-  void OnConnected(TimePoint) override { is_up = true; }
-  void OnData(std::string_view data, TimePoint) override {
-    m_reader.Append(data);
-    relay::Frame frame;
-    while (m_reader.Next(&frame) == FrameReader::Result::kFrame) {
-      received.push_back(frame);
-    }
-  }
-  void OnEnd(ConnectionEnd, TimePoint) override {}
-
-  FrameReader m_reader;
-  std::shared_ptr<TcpConnection> m_connection;
-};
-
-relay::Frame HelloFrame(uint64_t connection,
-                        const std::vector<uint64_t>& waiting) {
-  relay::Frame frame;
-  frame.mutable_hello()->set_incarnation(77);
-  frame.mutable_hello()->set_connection(connection);
-  for (const uint64_t id : waiting) {
-    frame.mutable_hello()->add_waiting_calls(id);
-  }
-  return frame;
-}
-
 // A paused node reads the caller's second connection first and answers that the
 // call was not received. It then reads the call from the first connection and
 // must not run it.
@@ -355,14 +316,7 @@
           RunUntil(&pair.loop, [&] { return second.received.size() == 2; }));
       BOOST_TEST((second.received[1].answer().fate() == relay::FATE_NOT_RUN));
       first.Send(HelloFrame(item.late_connection, {}));
-      relay::Frame call;
-      call.mutable_call()->set_id(5);
-      call.mutable_call()->set_server_id("server-1");
-      call.mutable_call()->set_declared_slots(2);
-      call.mutable_call()->set_method("GET");
-      call.mutable_call()->set_target("/ok");
-      call.mutable_call()->set_time_left_us(1'000'000);
-      first.Send(call);
+      first.Send(CallFrame(5));
       RunFor(&pair.loop, milliseconds(100));
       BOOST_TEST(pair.server.arrivals.empty());
     }
