Relay, Platform: Count a state as current only as long as it is confirmed

What callers saw: the store stopped answering the three nodes of nine that read it for the others, without a word.

Cause: a reader reported its state as current while a watch was pending and no call had failed. A watch may be pending for 21.5 s, and the store answers it only when there is a change, so a pending watch shows nothing about the time since it was sent.

Ruled out: silent or frozen readers (their reports came), a failed subscription, the decoding of the version (it was applied once the store answered again).

Change: only an answer of the store confirms a state, up to the time at which its call was sent. Reports carry that time on the subscriber's clock, derived from the time that the subscription names, so that delays make it earlier and never later, over any number of nodes. A state counts as current for 1.6 s after it; then a node asks the store itself, and selects another reader if the store confirms the state to others. Readers ask with a watch of 1 ms beside the pending one, usually one for all.

The random series also checks now, at each step, that nodes which have been undisturbed for 4 s know of all changes older than 2.5 s, and each confirmation is checked against the store's history.

--- a/Source/relay/fleet_state_exchange.cc
+++ b/Source/relay/fleet_state_exchange.cc
@@ -6,7 +6,6 @@
 #include "relay/server_directory.h"
 
 namespace vanillatiller {
-
 FleetStateExchange::FleetStateExchange(FleetNode own, uint64_t incarnation,
                                        FleetStateTransport* transport,
                                        EventLog* log)
@@ -93,9 +92,18 @@
 
 void FleetStateExchange::OnChanges(const FleetStateChanges& changes,
                                    TimePoint now) {
-  RememberChanges(changes);
+  if (changes.to > changes.from || !changes.items.empty()) {
+    RememberChanges(changes);
+    for (auto& [incarnation, subscriber] : m_subscribers) {
+      Report(&subscriber, subscriber.wants_changes, now);
+    }
+    return;
+  }
   for (auto& [incarnation, subscriber] : m_subscribers) {
-    Report(&subscriber, subscriber.wants_changes, now);
+    if (m_store->ConfirmedAt() - subscriber.reported_confirmation >=
+        kReportedAdvance) {
+      Report(&subscriber, false, now);
+    }
   }
 }
 
@@ -127,6 +135,7 @@
   Subscriber& subscriber = m_subscribers[subscribe.incarnation()];
   subscriber.send = reply;
   subscriber.last_renewed = now;
+  subscriber.renewal_sent = std::chrono::microseconds(subscribe.sent_us());
   subscriber.revision = subscribe.view().directory_revision();
   subscriber.wants_changes = subscribe.wants_changes();
   if (is_new) UpdateReadMode(now);
@@ -141,7 +150,15 @@
   subscriber->last_sent = now;
   relay::Frame frame;
   relay::Feed* feed = frame.mutable_feed();
-  feed->set_is_current(m_store->IsWatching());
+  const TimePoint confirmed_at = m_store->ConfirmedAt();
+  subscriber->reported_confirmation = confirmed_at;
+  if (confirmed_at != TimePoint{}) {
+    feed->set_confirmed_us(
+        std::chrono::duration_cast<std::chrono::microseconds>(
+            subscriber->renewal_sent +
+            (confirmed_at - subscriber->last_renewed))
+            .count());
+  }
   feed->set_from_revision(revision);
   feed->set_to_revision(revision);
   feed->set_renewal_left_us(ToMicroseconds(m_store->RenewalLeft(now)));
@@ -198,14 +215,13 @@
     if (provider == nullptr) return;
   }
   provider->announced.reset();
-  // A provider that knows less than this node misses changes.
-  const bool is_current =
-      feed.is_current() &&
-      feed.to_revision() >= m_store->View().directory_revision();
-  if (is_current) m_store->OnConfirmedCurrent(now);
-  if (is_current != std::exchange(provider->is_current, is_current)) {
-    UpdateReadMode(now);
-  }
+  // The provider's state is no newer than that of this node, so what confirms
+  // it confirms this node's, too.
+  const TimePoint confirmed_at{std::chrono::microseconds(feed.confirmed_us())};
+  provider->confirmed_at =
+      std::max(provider->confirmed_at, std::min(confirmed_at, now));
+  m_store->OnConfirmed(provider->confirmed_at, now);
+  UpdateReadMode(now);
 }
 
 FleetStateExchange::Provider* FleetStateExchange::FindProvider(
@@ -221,14 +237,41 @@
          now - provider.last_received < kProviderTimeout;
 }
 
+bool FleetStateExchange::IsCurrent(TimePoint confirmed_at, TimePoint now) {
+  return confirmed_at != TimePoint{} &&
+         now - confirmed_at < kMaxConfirmationAge;
+}
+
+void FleetStateExchange::ConfirmIfDue(TimePoint now) {
+  const Duration age = now - m_store->ConfirmedAt();
+  if (m_mode == ReadMode::kFromPeers || age < kConfirmAge) return;
+  Duration due = kMaxConfirmationAge;
+  if (m_mode == ReadMode::kReader) {
+    const size_t steps =
+        std::min(m_readers.CountReadersBefore(now), kMaxConfirmSteps);
+    due = kConfirmAge + kConfirmStep * static_cast<int64_t>(steps);
+  }
+  if (age >= due) m_store->Confirm(now);
+}
+
 void FleetStateExchange::UpdateProviders(TimePoint now) {
+  const bool is_platform_serving = IsCurrent(m_store->ConfirmedAt(), now);
   for (const Provider& provider : m_providers) {
-    if (now - std::max(provider.selected, provider.last_received) <
-        kProviderTimeout) {
-      continue;
-    }
-    m_log->Write(LogTopic::kFleetState, "reader-silent",
-                 {{"node", provider.node.ToString()}}, now);
+    const bool is_silent =
+        now - std::max(provider.selected, provider.last_received) >=
+        kProviderTimeout;
+    const bool is_unconfirmed =
+        is_platform_serving &&
+        now - std::max(provider.selected, provider.confirmed_at) >=
+            kUnconfirmedTimeout;
+    if (!is_silent && !is_unconfirmed) continue;
+    m_log->Write(
+        LogTopic::kFleetState,
+        is_silent ? "reader-silent" : "reader-unconfirmed",
+        {{"node", provider.node.ToString()},
+         {"confirmed_ms_ago",
+          std::to_string(ToMilliseconds(now - provider.confirmed_at))}},
+        now);
     m_readers.Avoid(provider.node, now);
   }
   const std::vector<SocketAddress> selected = m_readers.Select(now);
@@ -266,18 +309,28 @@
   frame.mutable_subscribe()->set_wants_changes(provider ==
                                                &m_providers.front());
   *frame.mutable_subscribe()->mutable_view() = m_store->View();
+  frame.mutable_subscribe()->set_sent_us(
+      std::chrono::duration_cast<std::chrono::microseconds>(
+          now.time_since_epoch())
+          .count());
   m_transport->SendToNode(provider->node, frame);
 }
 
 void FleetStateExchange::UpdateReadMode(TimePoint now) {
+  // A provider that has just been selected gets some time, unless this node's
+  // state is no longer current by then.
+  const TimePoint confirmed_at = m_store->ConfirmedAt();
+  const bool may_wait =
+      confirmed_at == TimePoint{} || IsCurrent(confirmed_at, now);
   bool has_reader = false;
   bool has_alive = false;
   for (const Provider& provider : m_providers) {
-    const bool is_starting = provider.last_received == TimePoint{} &&
+    const bool is_starting = may_wait && provider.confirmed_at == TimePoint{} &&
                              now - provider.selected < kFirstReportTime;
     const bool is_alive = IsAlive(provider, now);
     has_alive = has_alive || is_alive;
-    has_reader = has_reader || is_starting || (is_alive && provider.is_current);
+    has_reader = has_reader || is_starting ||
+                 (is_alive && IsCurrent(provider.confirmed_at, now));
   }
   ReadMode mode = ReadMode::kReader;
   if (m_subscribers.empty()) {
@@ -285,11 +338,13 @@
     if (has_reader) mode = ReadMode::kFromPeers;
   }
   if (mode == std::exchange(m_mode, mode)) return;
-  m_log->Write(LogTopic::kFleetState, "read-mode",
-               {{"reads", mode == ReadMode::kFromPeers ? "no" : "yes"},
-                {"subscribers", std::to_string(m_subscribers.size())},
-                {"providers", std::to_string(m_providers.size())}},
-               now);
+  m_log->Write(
+      LogTopic::kFleetState, "read-mode",
+      {{"reads", mode == ReadMode::kFromPeers ? "no" : "yes"},
+       {"confirmed_ms_ago", std::to_string(ToMilliseconds(now - confirmed_at))},
+       {"subscribers", std::to_string(m_subscribers.size())},
+       {"providers", std::to_string(m_providers.size())}},
+      now);
   m_store->SetReadMode(mode, now);
 }
 
@@ -298,7 +353,6 @@
   Provider* provider = FindProvider(node);
   if (provider == nullptr) return;
   provider->is_subscribed = false;
-  provider->is_current = false;
   UpdateReadMode(now);
 }
 
@@ -351,6 +405,7 @@
     }
   }
   UpdateProviders(now);
+  ConfirmIfDue(now);
 }
 
 }  // namespace vanillatiller
--- a/Source/relay/fleet_state_exchange.h
+++ b/Source/relay/fleet_state_exchange.h
@@ -67,7 +67,8 @@
     TimePoint last_received;
     TimePoint last_subscribed;
     bool is_subscribed = false;
-    bool is_current = false;
+    // Time up to which the platform has confirmed its reports.
+    TimePoint confirmed_at;
     // When it announced changes that this node does not know yet.
     std::optional<TimePoint> announced;
   };
@@ -75,7 +76,11 @@
   struct Subscriber {
     Reply send;
     TimePoint last_renewed;
+    // Time of the last renewal on the subscriber's clock, as it says.
+    Duration renewal_sent{};
     TimePoint last_sent;
+    // ConfirmedAt() of the last report.
+    TimePoint reported_confirmation;
     uint64_t revision = 0;
     bool wants_changes = false;
   };
@@ -107,6 +112,12 @@
   // Whether the subscription must be renewed.
   static bool IsOverdue(const Provider& provider, TimePoint now);
   static bool IsAlive(const Provider& provider, TimePoint now);
+  // Whether the platform has confirmed a state recently enough for it to count
+  // as current.
+  static bool IsCurrent(TimePoint confirmed_at, TimePoint now);
+  // Asks the platform for a confirmation if this node reads it and the last one
+  // is getting old.
+  void ConfirmIfDue(TimePoint now);
 
   // Period of snapshot requests while the platform cannot be read.
   static constexpr Duration kSnapshotRequestPeriod =
@@ -123,9 +134,26 @@
   static constexpr Duration kProviderTimeout = std::chrono::milliseconds(1200);
   // Time for announced changes to arrive from the preferred provider.
   static constexpr Duration kAnnouncedWait = std::chrono::milliseconds(100);
-  // Time for a provider to send its first report before this node reads for
-  // itself.
+  // Time for a provider to send its first confirmed report before this node
+  // reads for itself.
   static constexpr Duration kFirstReportTime = std::chrono::milliseconds(800);
+  // Time after which a state that the platform has not confirmed no longer
+  // counts as current, so that a node reads the platform itself. Together with
+  // that read it must stay below the time in which changes must be in force,
+  // 2.5 s on the users' deployments.
+  static constexpr Duration kMaxConfirmationAge =
+      std::chrono::milliseconds(1600);
+  // Age of the last confirmation at which the first reader asks for the next
+  // one, and what each further one adds, so that usually one of them asks for
+  // all. Leaves time for a slow platform and for reports over two nodes.
+  static constexpr Duration kConfirmAge = std::chrono::milliseconds(500);
+  static constexpr Duration kConfirmStep = std::chrono::milliseconds(200);
+  static constexpr size_t kMaxConfirmSteps = 3;
+  // Advance of the confirmation that is reported at once.
+  static constexpr Duration kReportedAdvance = std::chrono::milliseconds(200);
+  // Time without a confirmation after which a provider is replaced, if the
+  // platform confirms the state to others.
+  static constexpr Duration kUnconfirmedTimeout = kMaxConfirmationAge * 2;
   // Keys whose last change is remembered for subscribers.
   static constexpr size_t kMaxRecentChanges = 512;
 
--- a/Source/relay/fleet_state_store.h
+++ b/Source/relay/fleet_state_store.h
@@ -47,7 +47,8 @@
 // so that it keeps working with the latest known state.
 class FleetStateStore {
  public:
-  // Called when changes have been applied, whatever their source.
+  // Called when changes have been applied, whatever their source, and without
+  // changes when ConfirmedAt() has advanced.
   using Listener =
       std::function<void(const FleetStateChanges& changes, TimePoint now)>;
 
@@ -66,8 +67,13 @@
     (void)mode;
     (void)now;
   }
-  // Whether this node watches the platform and misses no change.
-  virtual bool IsWatching() const { return !IsPlatformUnreachable(); }
+  // Time up to which the platform has confirmed, to this node or to one that
+  // reported it, that all changes are known here. A watch that is pending
+  // confirms nothing: the platform may have stopped answering.
+  virtual TimePoint ConfirmedAt() const { return {}; }
+  // Asks the platform whether changes are missing here, unless it is being
+  // asked already.
+  virtual void Confirm(TimePoint now) { (void)now; }
   // Applies the changes of a feed that begins at or before the revision of this
   // node.
   virtual void ApplyFeed(const relay::Feed& feed, TimePoint now) {
@@ -79,8 +85,11 @@
     (void)key;
     return std::nullopt;
   }
-  // A node that watches the platform has reported that nothing is missing here.
-  virtual void OnConfirmedCurrent(TimePoint now) { (void)now; }
+  // Another node has reported what the platform has confirmed.
+  virtual void OnConfirmed(TimePoint confirmed_at, TimePoint now) {
+    (void)confirmed_at;
+    (void)now;
+  }
 
   // Time for which records that are missing after an outage of the platform
   // still count.
--- a/Source/relay/reader_selection.cc
+++ b/Source/relay/reader_selection.cc
@@ -51,12 +51,29 @@
   return reader;
 }
 
-std::vector<SocketAddress> ReaderSelection::Select(TimePoint now) const {
+std::set<std::string_view> ReaderSelection::Domains() const {
   std::set<std::string_view> domains;
   for (const FleetNode& node : m_nodes) domains.insert(node.failure_domain);
+  return domains;
+}
+
+size_t ReaderSelection::CountReadersBefore(TimePoint now) const {
+  const uint64_t own_weight = HashBytes(m_own.address.ToString());
+  size_t count = 0;
+  for (const std::string_view domain : Domains()) {
+    const FleetNode* reader = ReaderOf(domain, now);
+    if (reader != nullptr &&
+        HashBytes(reader->address.ToString()) > own_weight) {
+      ++count;
+    }
+  }
+  return count;
+}
+
+std::vector<SocketAddress> ReaderSelection::Select(TimePoint now) const {
   std::vector<RankedReader> readers;
   const uint64_t own_hash = HashBytes(m_own.address.ToString());
-  for (const std::string_view domain : domains) {
+  for (const std::string_view domain : Domains()) {
     const FleetNode* reader = ReaderOf(domain, now);
     if (reader == nullptr || reader->address == m_own.address) continue;
     Place place = Place::kOtherRegion;
--- a/Source/relay/reader_selection.h
+++ b/Source/relay/reader_selection.h
@@ -2,6 +2,7 @@
 #define VANILLATILLER_SOURCE_RELAY_READER_SELECTION_H_
 
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -41,11 +42,16 @@
   // failure domain, then that of another one in the region, then of another
   // region. This node need not be listed.
   std::vector<SocketAddress> Select(TimePoint now) const;
+  // Number of readers that precede this node, whether it is one or not, in an
+  // order on which all nodes agree.
+  size_t CountReadersBefore(TimePoint now) const;
 
  private:
   // Longer than a restart in place.
   static constexpr Duration kAvoidTime = std::chrono::seconds(4);
 
+  // Failure domains of the listed nodes.
+  std::set<std::string_view> Domains() const;
   // The reader of a failure domain; nullptr if all its nodes are avoided.
   const FleetNode* ReaderOf(std::string_view domain, TimePoint now) const;
   bool IsAvoided(const SocketAddress& node, TimePoint now) const;
--- a/Tests/fleet_state_test.cc
+++ b/Tests/fleet_state_test.cc
@@ -107,10 +107,20 @@
 struct FakePlatform {
   uint64_t revision = 1;
   std::vector<ChangedItem> log;
+  // When each change was made.
+  std::vector<TimePoint> times;
+  // Reads and watches that returned, and calls for a confirmation.
   size_t calls = 0;
+  size_t confirmations = 0;
 
-  void Change(const std::string& key) {
+  void Change(const std::string& key, TimePoint now) {
     log.push_back({key, ++revision, false});
+    times.push_back(now);
+  }
+  // The revision after all changes before `time`.
+  uint64_t RevisionAt(TimePoint time) const {
+    const auto later = std::lower_bound(times.begin(), times.end(), time);
+    return 1 + static_cast<uint64_t>(later - times.begin());
   }
   // Revision of the last change of each key.
   std::map<std::string, uint64_t> LastChanges() const {
@@ -132,6 +142,7 @@
            EventLog* log, Deliver deliver)
       : m_platform(platform),
         m_deliver(std::move(deliver)),
+        m_address(AddressOf(index)),
         m_exchange(MakeNode(index), incarnation, this, log) {
     m_exchange.SetStore(this);
   }
@@ -142,9 +153,18 @@
       ++m_platform->calls;
       Advance(m_platform->revision, now);
     }
+    for (const FleetNode& node : nodes) {
+      if (node.address != m_address) m_connected_nodes.push_back(node.address);
+    }
     m_exchange.SetNodes(nodes, now);
   }
   void Step(TimePoint now) {
+    m_now = now;
+    if (can_read && m_unanswered_since) {
+      // The platform is asked again and again while it does not answer.
+      m_unanswered_since.reset();
+      Confirm(now);
+    }
     if (m_mode != ReadMode::kFromPeers) Watch(now);
     if (now - m_last_tick >= milliseconds(200)) {
       m_last_tick = now;
@@ -163,7 +183,29 @@
         now);
   }
 
-  bool IsPlatformUnreachable() const override { return !can_read; }
+  // Silence is noticed only after a call has timed out.
+  bool IsPlatformUnreachable() const override {
+    return m_unanswered_since && m_now - *m_unanswered_since >= seconds(1);
+  }
+  TimePoint ConfirmedAt() const override { return m_confirmed_at; }
+  void Confirm(TimePoint now) override {
+    if (m_unanswered_since) return;
+    if (!can_read) {
+      m_unanswered_since = now;
+      return;
+    }
+    ++m_platform->confirmations;
+    Advance(m_platform->revision, now);
+    OnConfirmed(now, now);
+  }
+  void OnConfirmed(TimePoint confirmed_at, TimePoint now) override {
+    if (confirmed_at <= m_confirmed_at) return;
+    BOOST_TEST((confirmed_at <= now));
+    // A confirmation must be true: all changes up to then are known here.
+    BOOST_TEST(m_revision >= m_platform->RevisionAt(confirmed_at));
+    m_confirmed_at = confirmed_at;
+    if (m_listener) m_listener({m_revision, m_revision, {}}, now);
+  }
   relay::View View() const override {
     relay::View view;
     view.set_directory_revision(m_revision);
@@ -181,10 +223,10 @@
   void SetListener(Listener listener) override {
     m_listener = std::move(listener);
   }
-  void SetReadMode(ReadMode mode, TimePoint) override { m_mode = mode; }
-  bool IsWatching() const override {
-    // A watch that hangs does not show that it is cut off.
-    return m_mode != ReadMode::kFromPeers;
+  void SetReadMode(ReadMode mode, TimePoint now) override {
+    m_mode = mode;
+    // A watch begins with a call that is answered at once.
+    if (mode != ReadMode::kFromPeers) Confirm(now);
   }
   void ApplyFeed(const relay::Feed& feed, TimePoint now) override {
     BOOST_TEST(feed.from_revision() <= m_revision);
@@ -222,7 +264,10 @@
     m_deliver(node, frame);
   }
   bool KeepConnected(const SocketAddress&, TimePoint) override { return true; }
-  std::vector<SocketAddress> ConnectedNodes() const override { return {}; }
+  // A fleet with traffic: each node has connections to all others.
+  std::vector<SocketAddress> ConnectedNodes() const override {
+    return m_connected_nodes;
+  }
 
   void Watch(TimePoint now) {
     if (!can_read || m_platform->revision <= m_revision) return;
@@ -243,10 +288,15 @@
 
   FakePlatform* m_platform;
   Deliver m_deliver;
+  const SocketAddress m_address;
+  std::vector<SocketAddress> m_connected_nodes;
   Listener m_listener;
   uint64_t m_revision = 0;
   ReadMode m_mode = ReadMode::kReader;
   TimePoint m_last_tick;
+  TimePoint m_now;
+  TimePoint m_confirmed_at;
+  std::optional<TimePoint> m_unanswered_since;
   FleetStateExchange m_exchange;
 };
 
@@ -315,6 +365,20 @@
     return true;
   }
 
+  // Whether all nodes that the platform answers know the newest revision.
+  bool ServedKnowNewest() const {
+    for (size_t i = 0; i < m_nodes.size(); ++i) {
+      if (!IsDisturbed(i) && m_nodes[i]->revision() < platform.revision) {
+        return false;
+      }
+    }
+    return true;
+  }
+  bool IsDisturbed(size_t index) const {
+    return frozen.contains(index) || isolated.contains(index) ||
+           unreadable.contains(index);
+  }
+
   FakePlatform platform;
   TimePoint now = kStart;
   std::set<size_t> frozen;
@@ -357,6 +421,8 @@
 // Time in which all nodes must know of a change: the shortest bound of the
 // users' deployments for configurations and leaving servers.
 constexpr Duration kChangeBound = milliseconds(2500);
+// Time without a disturbance after which this holds for a node.
+constexpr Duration kStableTime = milliseconds(4000);
 
 // Each node used to watch the platform: calls grew with nodes times changes.
 BOOST_AUTO_TEST_CASE(CallsDoNotGrowWithTheFleet) {
@@ -366,8 +432,10 @@
       fleet.Run(seconds(3));
       BOOST_TEST(fleet.Readers().size() == 6U);
       const size_t before = fleet.platform.calls;
+      const size_t confirmed_before = fleet.platform.confirmations;
+      const TimePoint start = fleet.now;
       for (int i = 0; i < 10; ++i) {
-        fleet.platform.Change("servers/a");
+        fleet.platform.Change("servers/a", fleet.now);
         // Sooner than the next subscription, which would report it, too.
         fleet.Run(milliseconds(300));
         BOOST_TEST(fleet.AllKnowNewest());
@@ -375,6 +443,9 @@
         fleet.Run(milliseconds(770));
       }
       BOOST_TEST(fleet.platform.calls - before <= 60U);
+      // As if one node asked for all, at most twice a second.
+      BOOST_TEST(fleet.platform.confirmations - confirmed_before <=
+                 static_cast<size_t>((fleet.now - start) / milliseconds(500)));
     }
   }
 }
@@ -407,7 +478,7 @@
       BOOST_TEST_REQUIRE(readers.size() == 6U);
       for (size_t i = 0; i < item.readers; ++i) item.fail(&fleet, readers[i]);
       fleet.Run(milliseconds(20));
-      fleet.platform.Change("op/config");
+      fleet.platform.Change("op/config", fleet.now);
       fleet.Run(kChangeBound);
       BOOST_TEST(fleet.AllKnowNewest());
       BOOST_TEST_CONTEXT("after the failure") {
@@ -415,7 +486,7 @@
         fleet.isolated.clear();
         for (size_t i = 0; i < fleet.size(); ++i) fleet.SetReadable(i, true);
         fleet.Run(seconds(12));
-        fleet.platform.Change("op/config");
+        fleet.platform.Change("op/config", fleet.now);
         fleet.Run(seconds(1));
         BOOST_TEST(fleet.AllKnowNewest());
         BOOST_TEST(fleet.Readers().size() == 6U);
@@ -424,9 +495,51 @@
   }
 }
 
+// The platform stops answering all nodes that read it for the others, without a
+// word, just before a change. A pending watch used to count as current for as
+// long as it could be pending, 21 s, so that the other nodes, which the
+// platform serves, stayed with the earlier configuration.
+BOOST_AUTO_TEST_CASE(ServedNodesFollowWhileNoReaderIsServed) {
+  for (const size_t count : {9U, 36U}) {
+    BOOST_TEST_CONTEXT(count << " nodes") {
+      FakeFleet fleet(count);
+      fleet.Run(seconds(3));
+      for (const size_t reader : fleet.Readers()) {
+        fleet.SetReadable(reader, false);
+      }
+      fleet.Run(milliseconds(20));
+      fleet.platform.Change("op/config", fleet.now);
+      fleet.Run(kChangeBound);
+      BOOST_TEST(fleet.ServedKnowNewest());
+      // Other readers are selected, and the nodes stop reading for themselves.
+      fleet.Run(seconds(4));
+      BOOST_TEST(fleet.AllKnowNewest());
+      size_t served_readers = 0;
+      for (const size_t reader : fleet.Readers()) {
+        if (!fleet.unreadable.contains(reader)) ++served_readers;
+      }
+      BOOST_TEST(served_readers <= 6U);
+    }
+  }
+}
+
+// A frozen or cut off provider's last report must not count for longer than
+// what it confirmed.
+BOOST_AUTO_TEST_CASE(ConfirmationsEndWithTheirAge) {
+  FakeFleet fleet(36);
+  fleet.Run(seconds(3));
+  for (size_t i = 0; i < fleet.size(); ++i) fleet.SetReadable(i, false);
+  fleet.Run(seconds(4));
+  for (size_t i = 0; i < fleet.size(); ++i) {
+    BOOST_TEST((fleet.now - fleet.node(i).ConfirmedAt() >= seconds(4)));
+    BOOST_TEST((fleet.node(i).mode() != ReadMode::kFromPeers));
+  }
+}
+
 // Random series of freezes, restarts, cuts and changes. A node must never go
-// back to a lower revision, and once the failures end, all nodes must know of
-// all changes in time.
+// back to a lower revision. A node that has been undisturbed for some time must
+// know of each change in time, whatever befalls the others. Once the failures
+// end, all nodes must know of all changes in time.
 BOOST_AUTO_TEST_CASE(AllChangesArriveAfterRandomFailures) {
   const auto check = [] {
     FakeFleet fleet(18);
@@ -434,6 +547,7 @@
     const auto steps = *rc::gen::container<std::vector<std::pair<int, size_t>>>(
         rc::gen::pair(rc::gen::inRange(0, 8), rc::gen::inRange<size_t>(0, 18)));
     std::vector<uint64_t> seen(fleet.size());
+    std::vector<TimePoint> last_disturbed(fleet.size());
     for (const auto& [step, index] : steps) {
       if (step == 0) fleet.frozen.insert(index);
       if (step == 1) fleet.frozen.erase(index);
@@ -445,17 +559,23 @@
         fleet.Restart(index);
         seen[index] = 0;
       }
-      if (step == 7) fleet.platform.Change("servers/" + std::to_string(index));
+      if (step == 7)
+        fleet.platform.Change("servers/" + std::to_string(index), fleet.now);
+      if (step == 6) last_disturbed[index] = fleet.now;
       fleet.Run(milliseconds(100));
       for (size_t i = 0; i < fleet.size(); ++i) {
         RC_ASSERT(fleet.node(i).revision() >= seen[i]);
         seen[i] = fleet.node(i).revision();
+        if (fleet.IsDisturbed(i)) last_disturbed[i] = fleet.now;
+        if (fleet.now - last_disturbed[i] < kStableTime) continue;
+        RC_ASSERT(seen[i] >=
+                  fleet.platform.RevisionAt(fleet.now - kChangeBound));
       }
     }
     fleet.frozen.clear();
     fleet.isolated.clear();
     for (size_t i = 0; i < fleet.size(); ++i) fleet.SetReadable(i, true);
-    fleet.platform.Change("op/config");
+    fleet.platform.Change("op/config", fleet.now);
     fleet.Run(kChangeBound);
     RC_ASSERT(fleet.AllKnowNewest());
   };
--- a/Tests/platform/platform_test.cc
+++ b/Tests/platform/platform_test.cc
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "absl/strings/escaping.h"
+#include "absl/strings/str_cat.h"
 #include "platform/node_settings.h"
 #include "platform/store_client.h"
 #include "relay_harness.h"
@@ -304,12 +305,28 @@
       session->Respond(HttpResponse{answer.status, {}, answer.body}, now);
       return;
     }
+    const size_t after = request.target.find("after=");
+    if (request.target.ends_with("wait_ms=1") && !is_silent) {
+      const std::string_view revision =
+          std::string_view(request.target).substr(after + 6);
+      session->Respond(
+          HttpResponse{
+              200,
+              {},
+              absl::StrCat(R"({"events":[],"current_rev":)",
+                           std::string(revision.substr(0, revision.find('&'))),
+                           "}")},
+          now);
+      return;
+    }
     // A watch without changes stays open.
     m_waiting.push_back(session);
   }
   void OnCallerDisconnected(const HttpResponderPtr&, TimePoint) override {}
 
   SocketAddress address;
+  // Whether no call is answered that the script does not answer.
+  bool is_silent = false;
   std::vector<std::string> calls;
   std::vector<std::pair<std::string, std::deque<Answer>>> script;
 
@@ -440,6 +457,71 @@
   BOOST_TEST((BootClock::now() - heard < milliseconds(2500)));
 }
 
+constexpr const char* kEmptyList =
+    R"({"items":[],"more_pages":false,"current_rev":10})";
+
+// The store accepts calls and answers nothing. A pending watch must not count
+// as a confirmation, and the node must notice long before the watch times out.
+BOOST_FIXTURE_TEST_CASE(SilentStoreConfirmsNothing, StoreFixture) {
+  store.script = {{"/-/kv-range", {{200, kEmptyList}}},
+                  {"/-/kv-key", {{404, ""}}}};
+  client.Start(false, BootClock::now());
+  // The first watch is answered at once, the second one stays open.
+  BOOST_TEST_REQUIRE(
+      RunUntil(&pair.loop, [&] { return store.calls.size() == 4; }));
+  const TimePoint confirmed = client.ConfirmedAt();
+  BOOST_TEST((confirmed != TimePoint{}));
+  store.is_silent = true;
+  client.Confirm(BootClock::now());
+  BOOST_TEST(!client.IsPlatformUnreachable());
+  BOOST_TEST(
+      RunUntil(&pair.loop, [&] { return client.IsPlatformUnreachable(); }));
+  BOOST_TEST((client.ConfirmedAt() == confirmed));
+  BOOST_TEST_CONTEXT("the store answers again") {
+    store.is_silent = false;
+    BOOST_TEST(
+        RunUntil(&pair.loop, [&] { return !client.IsPlatformUnreachable(); }));
+    BOOST_TEST((client.ConfirmedAt() > confirmed));
+  }
+}
+
+// What a call confirms is as old as the call, however late its answer is.
+BOOST_FIXTURE_TEST_CASE(ConfirmationIsAsOldAsItsCall, StoreFixture) {
+  store.script = {{"/-/kv-range", {{200, kEmptyList}}},
+                  {"/-/kv-key", {{404, ""}}}};
+  client.Start(false, BootClock::now());
+  BOOST_TEST_REQUIRE(
+      RunUntil(&pair.loop, [&] { return store.calls.size() == 4; }));
+  const TimePoint sent = BootClock::now();
+  client.Confirm(sent);
+  BOOST_TEST(
+      RunUntil(&pair.loop, [&] { return client.ConfirmedAt() >= sent; }));
+  BOOST_TEST((client.ConfirmedAt() == sent));
+}
+
+// The watch is stalled, and another connection works. A confirmation brings
+// what the watch does not report.
+BOOST_FIXTURE_TEST_CASE(ConfirmationBringsMissedChanges, StoreFixture) {
+  store.script = {{"/-/kv-range", {{200, kEmptyList}, {200, kEmptyList}}},
+                  {"/-/kv-key", {{404, ""}, {404, ""}}},
+                  {"/-/kv-watch", {}}};
+  client.Start(false, BootClock::now());
+  BOOST_TEST_REQUIRE(
+      RunUntil(&pair.loop, [&] { return store.calls.size() == 4; }));
+  store.script[2].second = {{200, R"({"events":[)" +
+                                      Item("op/config", ConfigVersion(9), 12) +
+                                      R"(],"current_rev":12})"}};
+  client.Confirm(BootClock::now());
+  BOOST_TEST(RunUntil(&pair.loop, [&] { return ActiveConfigVersion() == 9; }));
+  BOOST_TEST(client.View().directory_revision() == 12U);
+  BOOST_TEST_CONTEXT("the history is gone") {
+    store.script[2].second = {{410, ""}};
+    client.Confirm(BootClock::now());
+    BOOST_TEST(
+        RunUntil(&pair.loop, [&] { return store.script[1].second.empty(); }));
+  }
+}
+
 // After a restart the first list may come from a replica that is seconds old.
 // The node must learn of later changes before any reader has reported to it.
 BOOST_AUTO_TEST_CASE(RestartedNodeCatchesUpByItself) {
