Eventio: Send no request on a connection that has carried its ID

Cause: the echoed ID tells answers on a connection apart only while no two requests on it have the same ID. A refusal without an ID was taken for the answer in any case.

Change: CallExecutor sends a request on a connection that has not carried its ID, a new one if need be. A connection carries at most 256 requests, which bounds the memory for the IDs. Without an ID only the first answer of a connection is attributed, refusals included.

--- a/Source/eventio/http_client_session.cc
+++ b/Source/eventio/http_client_session.cc
@@ -5,12 +5,16 @@
 
 #include "absl/strings/match.h"
 #include "absl/strings/numbers.h"
+#include "base/base.h"
 
 namespace vanillatiller {
 namespace {
 
 constexpr int kFirstFinalStatus = 200;
-constexpr int kFirstRefusalStatus = 400;
+
+uint32_t HashId(std::string_view id) {
+  return static_cast<uint32_t>(HashBytes(id));
+}
 
 // Returns the idle timeout from a "Keep-Alive: timeout=SECONDS" field.
 std::optional<std::chrono::seconds> ParseKeepAlive(std::string_view value) {
@@ -43,6 +47,7 @@
   m_reader.ExpectNoBody(request.method == "HEAD");
   m_request_id =
       m_id_header.empty() ? "" : request.headers.Find(m_id_header).value_or("");
+  if (!m_request_id.empty()) m_carried_ids.push_back(HashId(m_request_id));
   std::string text = FormatRequest(request);
   if (m_connection && m_connection->IsOpen()) {
     m_reusable = false;
@@ -95,8 +100,7 @@
   const auto id = message.headers.Find(m_id_header);
   if (id) return *id == m_request_id ? Match::kOwn : Match::kOther;
   const bool is_first = m_exchanges == 1 && m_skipped_responses == 0;
-  const bool needs_id = !m_request_id.empty() && !is_first &&
-                        message.status < kFirstRefusalStatus;
+  const bool needs_id = !m_request_id.empty() && !is_first;
   return needs_id ? Match::kUnknown : Match::kOwn;
 }
 
@@ -185,7 +189,14 @@
 }
 
 bool HttpClientSession::IsReusable(TimePoint now) const {
-  return m_connection && m_reusable && now < m_reuse_deadline;
+  return m_connection && m_reusable && now < m_reuse_deadline &&
+         m_carried_ids.size() < kMaxCarriedIds;
+}
+
+bool HttpClientSession::HasCarried(std::string_view request_id) const {
+  if (request_id.empty()) return m_exchanges > 0;
+  return std::find(m_carried_ids.begin(), m_carried_ids.end(),
+                   HashId(request_id)) != m_carried_ids.end();
 }
 
 }  // namespace vanillatiller
--- a/Source/eventio/http_client_session.h
+++ b/Source/eventio/http_client_session.h
@@ -5,6 +5,8 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
+#include <vector>
 
 #include "eventio/event_loop.h"
 #include "eventio/http_reader.h"
@@ -52,6 +54,10 @@
 
   // Whether the connection can be used for another exchange at `now`.
   bool IsReusable(TimePoint now) const;
+  // Whether the connection has carried a request with this ID, or any request
+  // if the ID is empty. The ID does not tell a late copy of the earlier answer
+  // from the answer to a further request, which must use another connection.
+  bool HasCarried(std::string_view request_id) const;
 
  private:
   void OnConnected(TimePoint now) override;
@@ -63,8 +69,7 @@
 
   // A response with a different ID belongs to another request, such as a late
   // copy on a connection that is in use again. One without an ID cannot be told
-  // from such a copy unless it is the first on its connection, or states that
-  // the request was refused.
+  // from such a copy unless it is the first on its connection.
   Match MatchResponse(const ParsedMessage& message) const;
   // Handles a complete message; false if the connection was closed.
   bool HandleResponse(bool more_data, TimePoint now);
@@ -77,6 +82,9 @@
   // Responses that are skipped in one exchange: interim responses and late
   // responses to earlier requests. Beyond this, the server is not usable.
   static constexpr uint32_t kMaxSkippedResponses = 16;
+  // Requests with an ID that a connection carries at most, which bounds the
+  // memory for their IDs.
+  static constexpr size_t kMaxCarriedIds = 256;
   // Timeout for establishing a connection.
   static constexpr Duration kConnectTimeout = std::chrono::seconds(1);
   // Idle time after which a connection is not reused if the server sends no
@@ -96,6 +104,8 @@
   std::string m_request_id;
   Done m_done;
   uint32_t m_exchanges = 0;
+  // Hashes of the IDs of all requests sent on the connection.
+  std::vector<uint32_t> m_carried_ids;
   uint32_t m_skipped_responses = 0;
   TimerId m_connect_timer = 0;
   bool m_reusable = false;
--- a/Source/relay/call_executor.cc
+++ b/Source/relay/call_executor.cc
@@ -104,7 +104,7 @@
   LocalCall& local = found->second;
   local.dispatched = now;
   m_active_by_request_id[local.request_id] = handle;
-  local.session = AcquireSession(now);
+  local.session = AcquireSession(local.request_id, now);
   local.timer = m_loop->Schedule(local.deadline + kDeadlineGrace,
                                  [this, handle](TimePoint t) {
                                    const auto late = m_calls.find(handle);
@@ -248,12 +248,18 @@
   return {state.in_flight, state.queued, state.limit, m_draining};
 }
 
-std::shared_ptr<HttpClientSession> CallExecutor::AcquireSession(TimePoint now) {
-  while (!m_idle_sessions.empty()) {
-    std::shared_ptr<HttpClientSession> session =
-        std::move(m_idle_sessions.back());
-    m_idle_sessions.pop_back();
-    if (session->IsReusable(now)) return session;
+std::shared_ptr<HttpClientSession> CallExecutor::AcquireSession(
+    std::string_view request_id, TimePoint now) {
+  for (auto it = m_idle_sessions.end(); it != m_idle_sessions.begin();) {
+    --it;
+    if (!(*it)->IsReusable(now)) {
+      it = m_idle_sessions.erase(it);
+      continue;
+    }
+    if ((*it)->HasCarried(request_id)) continue;
+    std::shared_ptr<HttpClientSession> session = std::move(*it);
+    m_idle_sessions.erase(it);
+    return session;
   }
   HttpReader::Limits limits = kAnswerLimits;
   limits.body_budget = &m_answer_bytes;
--- a/Source/relay/call_executor.h
+++ b/Source/relay/call_executor.h
@@ -95,7 +95,9 @@
   void ReleaseSlot(Handle handle, const CallResult& result, TimePoint now);
   static CallResult MakeRefusal(RefusalCode code);
   HttpRequest MakeRequest(const LocalCall& local, TimePoint now) const;
-  std::shared_ptr<HttpClientSession> AcquireSession(TimePoint now);
+  // Returns a session that has not carried a request with this ID.
+  std::shared_ptr<HttpClientSession> AcquireSession(std::string_view request_id,
+                                                    TimePoint now);
   void ReturnSession(std::shared_ptr<HttpClientSession> session, TimePoint now);
   void Resize(uint32_t slots);
 
