Relay: Take only requests that a planned stop leaves time to answer

Cause: for 2.5 s all requests were taken, whatever time they needed, and the process ended 0.8 s before the end of the grace period with requests open. With a grace period below 2.5 s it was killed with all of them open.

Change: StopPlan takes a request if its deadline comes before the last answers are due, or if the longest recent time of its route, and a quarter, does. Others are refused with Retry-After; they have not run. The last answers are due 0.3 s before the end of the grace period. What is open then gets its final answer, 502 if it may have run, and requests that wait for routes are refused instead of dropped.

Ruled out: refusing by deadline alone refuses short requests with long time budgets from 0.8 s on; sending a shorter deadline to the server turns answers that would be in time into failures.

--- a/Source/relay/relay.cc
+++ b/Source/relay/relay.cc
@@ -59,7 +59,7 @@
           settings.incarnation, this, log) {}
 
 Relay::~Relay() {
-  for (TimerId* timer : {&m_tick_timer, &m_expiry_timer}) {
+  for (TimerId* timer : {&m_tick_timer, &m_expiry_timer, &m_stop_timer}) {
     m_loop->Cancel(timer);
   }
 }
@@ -333,22 +333,33 @@
 void Relay::Stop(std::function<void()> stopped, TimePoint now) {
   if (m_stopped) return;
   m_stopped = std::move(stopped);
-  m_stop_began = now;
+  m_stop_plan.emplace(now, m_settings.stop_grace);
   m_log->Write(LogTopic::kFleetState, "stopping", {}, now);
   m_executor.StartDraining(now);
+  m_router.SetStopPlan(*m_stop_plan);
   m_peer_server.BroadcastLoad();
+  m_stop_timer = m_loop->Schedule(m_stop_plan->answers_due(),
+                                  [this](TimePoint later) { EndStop(later); });
 }
 
 void Relay::ContinueStop(TimePoint now) {
-  if (now - m_stop_began < kStopNotice) return;
+  if (now < m_stop_plan->notice_end()) return;
   m_router.StartDraining();
   for (const auto& weak : m_caller_sessions) {
     if (const auto session = weak.lock()) session->CloseAfterResponse();
   }
-  const bool is_idle = m_router.IsIdle() && m_executor.IsIdle();
-  if (!is_idle && now - m_stop_began < m_settings.stop_grace - kStopMargin) {
-    return;
-  }
+  if (m_router.IsIdle() && m_executor.IsIdle()) FinishStop(true, now);
+}
+
+void Relay::EndStop(TimePoint now) {
+  m_router.EndAll(now);
+  m_stop_timer = m_loop->Schedule(
+      now + kFlushTime, [this](TimePoint later) { FinishStop(false, later); });
+}
+
+void Relay::FinishStop(bool is_idle, TimePoint now) {
+  m_loop->Cancel(&m_stop_timer);
+  if (std::exchange(m_is_stop_finished, true)) return;
   m_log->Write(LogTopic::kFleetState, "stopped",
                {{"idle", is_idle ? "yes" : "no"}}, now);
   m_log->Flush();
--- a/Source/relay/relay.h
+++ b/Source/relay/relay.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -29,6 +30,7 @@
 #include "relay/route_table.h"           // IWYU pragma: export
 #include "relay/server_directory.h"      // IWYU pragma: export
 #include "relay/server_quality.h"        // IWYU pragma: export
+#include "relay/stop_plan.h"             // IWYU pragma: export
 
 namespace vanillatiller {
 
@@ -45,7 +47,8 @@
   ProtocolNames names;
   // This node's share of the retry budget of each service.
   WindowBudgetSettings retry_budget;
-  // Maximum time from Stop() to the `stopped` callback.
+  // Time after Stop() at which the process is killed; the `stopped` callback
+  // comes before.
   Duration stop_grace = std::chrono::seconds(6);
   uint64_t incarnation = 0;
 };
@@ -116,6 +119,9 @@
   void OnTick(TimePoint now);
   void RunPeriodicTasks(TimePoint now);
   void ContinueStop(TimePoint now);
+  // The grace period is about to end: all that is open gets a final answer.
+  void EndStop(TimePoint now);
+  void FinishStop(bool is_idle, TimePoint now);
   void AcceptCaller(std::shared_ptr<TcpConnection> connection, TimePoint now);
   bool HasRoutesAndServers() const;
   bool IsReady() const;
@@ -124,12 +130,8 @@
   static constexpr Duration kQueueTickPeriod = std::chrono::milliseconds(20);
   // Period of all other recurring tasks.
   static constexpr Duration kTickPeriod = std::chrono::milliseconds(200);
-  // Time after Stop() during which callers are served normally, because they
-  // have not noticed it yet: two health checks one second apart, and their
-  // delays.
-  static constexpr Duration kStopNotice = std::chrono::milliseconds(2500);
-  // Margin kept before the end of the grace period.
-  static constexpr Duration kStopMargin = std::chrono::milliseconds(800);
+  // Time for the last answers to be sent before the process ends.
+  static constexpr Duration kFlushTime = std::chrono::milliseconds(50);
 
   EventLoop* m_loop;
   const RelaySettings m_settings;
@@ -155,7 +157,9 @@
   // When the listeners were opened.
   TimePoint m_started;
   std::function<void()> m_stopped;
-  TimePoint m_stop_began;
+  std::optional<StopPlan> m_stop_plan;
+  TimerId m_stop_timer = 0;
+  bool m_is_stop_finished = false;
   TimePoint m_next_periodic_tasks;
   TimerId m_tick_timer = 0;
   // Fires when the next server record expires.
--- a/Source/relay/request_router.cc
+++ b/Source/relay/request_router.cc
@@ -193,7 +193,7 @@
       request->answer_deadline,
       [this, request](TimePoint later) { OnTimeout(request, later); });
   m_requests[responder.get()] = request;
-  if (m_draining) {
+  if (m_draining || !CanAnswerBeforeStop(*request, now)) {
     Refuse(request, RefusalCode::kLeaving, kRestartTime, now);
     return;
   }
@@ -205,6 +205,14 @@
   SendToServer(request, now);
 }
 
+bool RequestRouter::CanAnswerBeforeStop(const Request& request,
+                                        TimePoint now) const {
+  return !m_stop_plan ||
+         m_stop_plan->MayStart(
+             request.answer_deadline,
+             m_durations.Longest(request.route->route().name, now), now);
+}
+
 void RequestRouter::SendToServer(const RequestPtr& request, TimePoint now) {
   const CallTraits traits = {
       m_call_averages.MeanKilobytes(request->route->route().name),
@@ -388,18 +396,33 @@
   return *budget;
 }
 
+void RequestRouter::AbandonCall(const RequestPtr& request, TimePoint now) {
+  if (request->call == 0) return;
+  m_transport->Cancel(request->node, request->call, now);
+  request->state->OnAbandoned();
+  request->call = 0;
+  request->may_have_run = true;
+}
+
 void RequestRouter::OnTimeout(const RequestPtr& request, TimePoint now) {
   request->timer = 0;
-  if (request->call != 0) {
-    m_transport->Cancel(request->node, request->call, now);
-    request->state->OnAbandoned();
-    request->quality->OnFailure(now);
-    request->call = 0;
-    request->may_have_run = true;
-  }
+  if (request->call != 0) request->quality->OnFailure(now);
+  AbandonCall(request, now);
   Fail(request, kGatewayTimeout, RefusalCode::kDeadlineExceeded, now);
 }
 
+void RequestRouter::EndAll(TimePoint now) {
+  m_draining = true;
+  for (auto& [key, early] : std::exchange(m_early_requests, {})) {
+    m_loop->Cancel(&early.timer);
+    RouteRequest(early.responder, std::move(early.http), now);
+  }
+  for (const auto& [key, request] : std::map(m_requests)) {
+    AbandonCall(request, now);
+    EndWithFailure(request, RefusalCode::kLeaving, now);
+  }
+}
+
 void RequestRouter::OnCallerDisconnected(const HttpResponderPtr& responder,
                                          TimePoint now) {
   if (auto early = m_early_requests.extract(responder.get())) {
@@ -411,11 +434,7 @@
   if (found == m_requests.end()) return;
   const RequestPtr request = found->second;
   ++m_metrics->callers_gone;
-  if (request->call != 0) {
-    m_transport->Cancel(request->node, request->call, now);
-    request->state->OnAbandoned();
-    request->call = 0;
-  }
+  AbandonCall(request, now);
   m_log->Write(
       LogTopic::kRequest, "caller-gone",
       {{"request", request->id},
@@ -458,6 +477,9 @@
                            TimePoint now) {
   ++m_metrics->answers[response.status];
   m_metrics->request_time.Add(now - request->received);
+  if (decision != "refused") {
+    m_durations.Add(request->route->route().name, now - request->received, now);
+  }
   if (decision != "answered") {
     m_log->Write(
         LogTopic::kRequest, decision,
--- a/Source/relay/request_router.h
+++ b/Source/relay/request_router.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -18,6 +19,7 @@
 #include "relay/protocol_names.h"
 #include "relay/relay_metrics.h"
 #include "relay/route_table.h"
+#include "relay/stop_plan.h"
 #include "retry/retry.h"
 
 namespace vanillatiller {
@@ -51,9 +53,13 @@
   // Starts processing the requests that waited for routes and servers. Called
   // once both are known; later calls have no effect.
   void StartServing(TimePoint now);
-  // Refuses new requests, because the process would exit before they could be
-  // answered. Caller connections close after their next response.
+  // Refuses new requests that may not be answered in time from now on.
+  void SetStopPlan(const StopPlan& plan) { m_stop_plan = plan; }
+  // Refuses all new requests. Caller connections close after their next
+  // response.
   void StartDraining() { m_draining = true; }
+  // Gives a final answer to all requests, as the process ends.
+  void EndAll(TimePoint now);
   bool IsIdle() const { return m_requests.empty() && m_early_requests.empty(); }
   uint64_t config_version() const { return m_routes ? m_routes->version() : 0; }
 
@@ -102,6 +108,10 @@
   void EndWithFailure(const RequestPtr& request, RefusalCode code,
                       TimePoint now);
   bool CanRetry(const Request& request, TimePoint now) const;
+  // Whether a planned stop leaves enough time to answer the request.
+  bool CanAnswerBeforeStop(const Request& request, TimePoint now) const;
+  // Cancels the call in progress, if any; the request may have run.
+  void AbandonCall(const RequestPtr& request, TimePoint now);
   // Spends a retry from the budget of the request's service; false if none is
   // available.
   bool SpendRetry(const Request& request, TimePoint now);
@@ -141,6 +151,8 @@
   bool m_is_serving = false;
   std::map<HttpResponder*, EarlyRequest> m_early_requests;
   bool m_draining = false;
+  std::optional<StopPlan> m_stop_plan;
+  RequestDurations m_durations;
   uint64_t m_last_call = 0;
   std::map<HttpResponder*, RequestPtr> m_requests;
   std::map<std::string, std::unique_ptr<WindowBudget>> m_budgets;
