Relay, Platform: Ask the store for a confirmation a little later

The first reader asks 0.7 s after the last confirmation instead of 0.5 s; the others still ask after 1.1 s at most, which is what the bound of configurations depends on.

--- a/Source/relay/fleet_state_exchange.h
+++ b/Source/relay/fleet_state_exchange.h
@@ -146,9 +146,9 @@
   // Age of the last confirmation at which the first reader asks for the next
   // one, and what each further one adds, so that usually one of them asks for
   // all. Leaves time for a slow platform and for reports over two nodes.
-  static constexpr Duration kConfirmAge = std::chrono::milliseconds(500);
+  static constexpr Duration kConfirmAge = std::chrono::milliseconds(700);
   static constexpr Duration kConfirmStep = std::chrono::milliseconds(200);
-  static constexpr size_t kMaxConfirmSteps = 3;
+  static constexpr size_t kMaxConfirmSteps = 2;
   // Advance of the confirmation that is reported at once.
   static constexpr Duration kReportedAdvance = std::chrono::milliseconds(200);
   // Time without a confirmation after which a provider is replaced, if the
