--- a/Tests/call_outcome_test.cc
+++ b/Tests/call_outcome_test.cc
@@ -104,7 +104,7 @@
   }
 }
 
-// The caller leaves while the fate of its call is open.
+// The caller leaves while the outcome of its call is open.
 BOOST_AUTO_TEST_CASE(CancelledCallsDoNotRunAgain) {
   RelayPair pair;
   pair.AddServer("server-2");
