Tests: Ignore SIGPIPE in the tests of connections

Cause: its random cases reset connections while the nodes in the test's own process write to them. vtadapter, vanillatillerd and vtstub ignore the signal at their start; the test programs did not. Ruled out: the product, where the write fails with EPIPE and the connection ends.

Change: the harness ignores it, too. WritesToClosedConnectionsEndNoTest forces the write; without the change it ends with status 141.

--- a/Tests/call_outcome_test.cc
+++ b/Tests/call_outcome_test.cc
@@ -3,9 +3,11 @@
 // process answers for a call that an earlier process received.
 #define BOOST_TEST_MODULE call_outcome
 #include <rapidcheck.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
+#include <cerrno>
 #include <map>
 #include <memory>
 #include <string>
@@ -104,6 +106,17 @@
   }
 }
 
+// Tests the harness itself: resets race with writes in the cases below, and the
+// signal of a write to a closed connection ended the test program.
+BOOST_AUTO_TEST_CASE(WritesToClosedConnectionsEndNoTest) {
+  int ends[2] = {-1, -1};
+  BOOST_TEST_REQUIRE(pipe(ends) == 0);
+  close(ends[0]);
+  BOOST_TEST(write(ends[1], "x", 1) == -1);
+  BOOST_TEST(errno == EPIPE);
+  close(ends[1]);
+}
+
 // The caller leaves while the outcome of its call is open.
 BOOST_AUTO_TEST_CASE(CancelledCallsDoNotRunAgain) {
   RelayPair pair;
--- a/Tests/relay_harness.cc
+++ b/Tests/relay_harness.cc
@@ -6,6 +6,7 @@
 #include <unistd.h>
 
 #include <boost/test/unit_test.hpp>
+#include <csignal>
 #include <set>
 #include <utility>
 
@@ -30,6 +31,11 @@
   });
 }
 
+// As in the programs: a write to a connection that the peer has reset must not
+// end the process.
+[[maybe_unused]] const auto kEarlierSigpipeHandler =
+    std::signal(SIGPIPE, SIG_IGN);
+
 int DevNull() { return open("/dev/null", O_WRONLY); }
 
 RelayRoute MakeRoute(const std::string& prefix, bool idempotent) {
