Platform, Relay: Log which call failed, and which version decided a request

platform-lost names the call, when it was sent and when the state was last confirmed; away_ms counts from platform-lost, and current_ms_ago has the earlier meaning.

Log values: reason=unconfirmed-X is now call=confirm reason=X.

No decision changes. platform_test: OutageIsTimedFromItsFirstFailure.

--- a/Source/relay/event_log.cc
+++ b/Source/relay/event_log.cc
@@ -10,6 +10,11 @@
 
 namespace vanillatiller {
 
+std::string FormatAge(TimePoint since, TimePoint now) {
+  return since == TimePoint{} ? "never"
+                              : std::to_string(ToMilliseconds(now - since));
+}
+
 EventLog::EventLog(int fd, std::string vm) : m_fd(fd), m_vm(std::move(vm)) {
   const int flags = fcntl(fd, F_GETFL);
   if (flags >= 0) fcntl(fd, F_SETFL, flags | O_NONBLOCK);
--- a/Source/relay/event_log.h
+++ b/Source/relay/event_log.h
@@ -17,8 +17,13 @@
   kRequest = 0,
   // State of servers, peers, the platform and this process, as seen here.
   kFleetState = 1,
+  // Requests that were served although the configuration may be outdated.
+  kServed = 2,
 };
 
+// Milliseconds from `since` to `now`; "never" for TimePoint{}.
+std::string FormatAge(TimePoint since, TimePoint now);
+
 // Structured, rate-limited log with one line per event, written to a file
 // descriptor without blocking. Dropped lines are counted, and the next line
 // written reports their number.
@@ -50,7 +55,7 @@
 
   const int m_fd;
   const std::string m_vm;
-  TokenBucket m_buckets[2];
+  TokenBucket m_buckets[3];
   std::string m_buffer;
   uint64_t m_unreported_lost = 0;
   uint64_t m_lost_total = 0;
--- a/Source/relay/fleet_state_exchange.cc
+++ b/Source/relay/fleet_state_exchange.cc
@@ -269,8 +269,7 @@
         LogTopic::kFleetState,
         is_silent ? "reader-silent" : "reader-unconfirmed",
         {{"node", provider.node.ToString()},
-         {"confirmed_ms_ago",
-          std::to_string(ToMilliseconds(now - provider.confirmed_at))}},
+         {"confirmed_ms_ago", FormatAge(provider.confirmed_at, now)}},
         now);
     m_readers.Avoid(provider.node, now);
   }
@@ -341,7 +340,7 @@
   m_log->Write(
       LogTopic::kFleetState, "read-mode",
       {{"reads", mode == ReadMode::kFromPeers ? "no" : "yes"},
-       {"confirmed_ms_ago", std::to_string(ToMilliseconds(now - confirmed_at))},
+       {"confirmed_ms_ago", FormatAge(confirmed_at, now)},
        {"subscribers", std::to_string(m_subscribers.size())},
        {"providers", std::to_string(m_providers.size())}},
       now);
--- a/Source/relay/relay.cc
+++ b/Source/relay/relay.cc
@@ -312,6 +312,7 @@
   m_fleet_state.Tick(now);
   std::erase_if(m_caller_sessions,
                 [](const auto& session) { return session.expired(); });
+  m_router.CheckConfirmation(now);
   const PeerLoad load = m_executor.Load();
   m_metrics.gauges["in_flight"] = load.in_flight;
   m_metrics.gauges["queued"] = load.queued;
--- a/Source/relay/relay.h
+++ b/Source/relay/relay.h
@@ -16,6 +16,7 @@
 #include "relay/call_averages.h"         // IWYU pragma: export
 #include "relay/call_executor.h"         // IWYU pragma: export
 #include "relay/call_order.h"            // IWYU pragma: export
+#include "relay/config_confirmation.h"   // IWYU pragma: export
 #include "relay/event_log.h"             // IWYU pragma: export
 #include "relay/fleet_state_exchange.h"  // IWYU pragma: export
 #include "relay/fleet_state_store.h"     // IWYU pragma: export
@@ -51,6 +52,8 @@
   // comes before.
   Duration stop_grace = std::chrono::seconds(6);
   uint64_t incarnation = 0;
+  // Time in which a change of the configuration must be in force.
+  Duration config_bound = std::chrono::milliseconds(2500);
 };
 
 // The relay of one VM.
@@ -69,6 +72,8 @@
 
   // Applies a configuration; versions that are not newer are ignored.
   void ApplyConfig(const RelayConfig& config, TimePoint now);
+  // The source had no newer configuration at `at`.
+  void OnConfigConfirmed(TimePoint at) { m_router.OnConfigConfirmed(at); }
   // Apply changes of the server list.
   void ApplyServer(const ServerRecord& record, TimePoint now);
   void RemoveServer(std::string_view id, uint64_t revision, TimePoint now);
@@ -79,6 +84,7 @@
   // Must be called before Start(). `store` must outlive the relay.
   void SetFleetStateStore(FleetStateStore* store) {
     m_fleet_state.SetStore(store);
+    m_router.RequireConfirmation(m_settings.config_bound);
   }
   // See ServerDirectory.
   Duration RenewalLeft(TimePoint now) const {
--- a/Source/relay/relay_metrics.cc
+++ b/Source/relay/relay_metrics.cc
@@ -57,6 +57,7 @@
   AppendCounter("retries_total", "", retries, &text);
   AppendCounter("retries_denied_total", "", retries_denied, &text);
   AppendCounter("callers_gone_total", "", callers_gone, &text);
+  AppendCounter("requests_unconfirmed_total", "", requests_unconfirmed, &text);
   AppendCounter("platform_reads_total", "", platform_reads, &text);
   AppendCounter("platform_failures_total", "", platform_failures, &text);
   AppendCounter("platform_values_ignored_total", "", platform_values_ignored,
--- a/Source/relay/relay_metrics.h
+++ b/Source/relay/relay_metrics.h
@@ -37,6 +37,8 @@
   uint64_t retries = 0;
   uint64_t retries_denied = 0;
   uint64_t callers_gone = 0;
+  // Requests that were decided by a configuration that may be outdated.
+  uint64_t requests_unconfirmed = 0;
   uint64_t platform_reads = 0;
   uint64_t platform_failures = 0;
   // Unreadable values in the platform's answers.
--- a/Source/relay/request_router.cc
+++ b/Source/relay/request_router.cc
@@ -37,6 +37,11 @@
   HttpRequest http;
   std::shared_ptr<ActiveRoute> route;
   std::string service;
+  // The configuration that selected the route, when it had been confirmed, and
+  // whether it was current at that time.
+  uint64_t config_version = 0;
+  TimePoint config_confirmed_at;
+  bool is_config_current = true;
   TimePoint received;
   // Time until which the caller waits.
   TimePoint deadline;
@@ -142,6 +147,16 @@
   }
 }
 
+void RequestRouter::CheckConfirmation(TimePoint now) {
+  const bool is_confirmed = !m_routes || m_confirmation.IsCurrent(now);
+  if (is_confirmed == std::exchange(m_is_confirmed, is_confirmed)) return;
+  m_log->Write(LogTopic::kFleetState,
+               is_confirmed ? "config-confirmed" : "config-unconfirmed",
+               {{"version", std::to_string(config_version())},
+                {"confirmed_ms_ago", FormatAge(m_confirmation.at(), now)}},
+               now);
+}
+
 Duration RequestRouter::TimeLeft(const HttpRequest& http,
                                  Duration default_value) const {
   uint64_t left_ms = 0;
@@ -169,6 +184,10 @@
   request->id = http.headers.Find(m_names->request_id).value_or("");
   request->route = route;
   request->service = route->NextService();
+  request->config_version = config_version();
+  request->config_confirmed_at = m_confirmation.at();
+  request->is_config_current = m_confirmation.IsCurrent(now);
+  if (!request->is_config_current) ++m_metrics->requests_unconfirmed;
   request->received = received;
   request->deadline = received + TimeLeft(http, route->route().timeout);
   request->answer_deadline =
@@ -480,9 +499,10 @@
   if (decision != "refused") {
     m_durations.Add(request->route->route().name, now - request->received, now);
   }
-  if (decision != "answered") {
+  const bool is_served = decision == "answered";
+  if (!is_served || !request->is_config_current) {
     m_log->Write(
-        LogTopic::kRequest, decision,
+        is_served ? LogTopic::kServed : LogTopic::kRequest, decision,
         {{"request", request->id},
          {"route", request->route->route().name},
          {"service", request->service},
@@ -492,7 +512,9 @@
          {"placements", std::to_string(request->tried_servers.size())},
          {"attempts", std::to_string(request->attempts)},
          {"after_ms", std::to_string(ToMilliseconds(now - request->received))},
-         {"config", std::to_string(config_version())}},
+         {"config", std::to_string(request->config_version)},
+         {"config_confirmed_ms_before",
+          FormatAge(request->config_confirmed_at, request->received)}},
         now);
   }
   const bool was_overloaded =
@@ -522,7 +544,8 @@
         std::string(request.headers.Find(m_names->authority).value_or("-"))},
        {"target", request.target},
        {"status", std::to_string(response.status)},
-       {"config", std::to_string(config_version())}},
+       {"config", std::to_string(config_version())},
+       {"config_confirmed_ms_before", FormatAge(m_confirmation.at(), now)}},
       now);
   responder->Respond(response, now);
 }
--- a/Source/relay/request_router.h
+++ b/Source/relay/request_router.h
@@ -14,6 +14,7 @@
 #include "relay/call_averages.h"
 #include "relay/call_executor.h"
 #include "relay/call_result.h"
+#include "relay/config_confirmation.h"
 #include "relay/event_log.h"
 #include "relay/placement.h"
 #include "relay/protocol_names.h"
@@ -50,6 +51,13 @@
   void SetRoutes(std::shared_ptr<const RouteTable> routes) {
     m_routes = std::move(routes);
   }
+  // See ConfigConfirmation.
+  void RequireConfirmation(Duration max_age) {
+    m_confirmation.Require(max_age);
+  }
+  void OnConfigConfirmed(TimePoint at) { m_confirmation.OnConfirmed(at); }
+  // Reports that the configuration is no longer confirmed, or is again.
+  void CheckConfirmation(TimePoint now);
   // Starts processing the requests that waited for routes and servers. Called
   // once both are known; later calls have no effect.
   void StartServing(TimePoint now);
@@ -148,6 +156,9 @@
   RelayMetrics* m_metrics;
   Placement::Generator m_random;
   std::shared_ptr<const RouteTable> m_routes;
+  ConfigConfirmation m_confirmation;
+  // As last reported.
+  bool m_is_confirmed = true;
   bool m_is_serving = false;
   std::map<HttpResponder*, EarlyRequest> m_early_requests;
   bool m_draining = false;
--- a/Tests/platform/adapter_soak.cc
+++ b/Tests/platform/adapter_soak.cc
@@ -2,10 +2,10 @@
 // simulates the platform's store, the backend servers, the callers and the
 // network between nodes.
 //
-//   adapter_soak [SEED [SECONDS [NODES]]]
+//   adapter_soak [SEED [SECONDS [NODES [VTADAPTER]]]]
 //
-// Prints each violated guarantee with its time and exits with 1. The same seed
-// selects the same faults.
+// Prints each violated guarantee with its time and exits with 1; the logs of
+// the nodes are kept then. The same seed selects the same faults.
 
 #include <signal.h>
 #include <spawn.h>
@@ -22,9 +22,10 @@
 #include <string>
 #include <vector>
 
-#include "absl/strings/escaping.h"
 #include "absl/strings/str_format.h"
+#include "config_history.h"
 #include "relay_harness.h"
+#include "soak_store.h"
 
 namespace vanillatiller {
 namespace {
@@ -38,16 +39,32 @@
 constexpr Duration kCallerWait = milliseconds(3000);
 // Time after which a server marked as draining must receive no new requests.
 constexpr Duration kDrainBound = milliseconds(2500);
+// Time without a disturbance of its own after which the time bounds hold for a
+// node.
+constexpr Duration kStableTime = seconds(4);
+// Time after the effect of a version was seen at a node from which that node
+// must not fall behind it.
+constexpr Duration kRollbackSlack = milliseconds(250);
+// A version serves the routes that this many versions before it have added.
+constexpr int kKeptRoutes = 8;
+constexpr size_t kSmallBody = 2000;
+constexpr size_t kLargeBody = 100000;
+constexpr size_t kMediumBody = 5000;
+// Delay of the soak's own timers after which its times are not trusted.
+constexpr Duration kMaxLag = milliseconds(200);
+constexpr Duration kLagCheckPeriod = milliseconds(50);
 
 class Soak {
  public:
-  Soak(uint64_t seed, Duration length, size_t nodes)
-      : m_random(seed), m_length(length), m_nodes(nodes) {
+  Soak(uint64_t seed, Duration length, size_t nodes, std::string program)
+      : m_random(seed),
+        m_length(length),
+        m_program(std::move(program)),
+        m_store(&m_loop, nodes),
+        m_nodes(nodes) {
     char directory[] = "/tmp/adapter-soak-XXXXXX";
     m_directory = mkdtemp(directory);
     m_peer_port = FreeLoopbackPort();
-    m_store_port = FreeLoopbackPort();
-    ListenStore();
     for (size_t i = 0; i < nodes; ++i) AddNode(i);
     PublishConfig(BootClock::now());
   }
@@ -57,6 +74,10 @@
       if (node.pid > 0) kill(node.pid, SIGKILL);
       if (node.pid > 0) waitpid(node.pid, nullptr, 0);
     }
+    if (m_violations > 0) {
+      std::printf("logs: %s\n", m_directory.c_str());
+      return;
+    }
     [[maybe_unused]] const int removed =
         std::system(("rm -r " + m_directory).c_str());
   }
@@ -73,12 +94,14 @@
     m_loop.Schedule(m_faults_end + kSettleTime,
                     [this](TimePoint now) { CheckSettled(now); });
     RestartExitedNodes();
+    CheckLag(m_start);
     m_loop.Run();
     CheckRefusals();
     std::printf(
-        "%zu calls, %zu answered, %zu refused, %zu unanswered; %zu "
-        "violations\n",
-        m_calls, m_answered, m_refused.size(), m_unanswered, m_violations);
+        "%zu calls, %zu answered, %zu refused, %zu unanswered, %zu judged by "
+        "the configuration; %zu violations\n",
+        m_calls, m_answered, m_refused.size(), m_unanswered, m_judged,
+        m_violations);
     return m_violations;
   }
 
@@ -94,6 +117,15 @@
     pid_t pid = -1;
     bool is_draining = false;
     TimePoint drain_acknowledged;
+    // Time from which the time bounds hold for the node.
+    TimePoint settled_at;
+    TimePoint store_fault_end;
+    // The newest version of which this process has shown the effect, and when
+    // that was first seen.
+    int seen_version = 0;
+    TimePoint seen_at;
+    // The connection of a caller that keeps it.
+    std::shared_ptr<HttpClientSession> kept;
     std::unique_ptr<FaultProxy> network;
     std::unique_ptr<HttpRequestHandler> server;
     std::unique_ptr<TcpListener> listener;
@@ -114,20 +146,18 @@
     const size_t m_node;
   };
 
-  class Store : public HttpRequestHandler {
-   public:
-    explicit Store(Soak* soak) : m_soak(soak) {}
-    void OnRequest(const HttpResponderPtr& session, HttpRequest request,
-                   TimePoint now) override {
-      m_soak->OnStoreRequest(session, request, now);
-    }
-    void OnCallerDisconnected(const HttpResponderPtr& session,
-                              TimePoint) override {
-      m_soak->m_watches.erase(session);
-    }
+  // A request of a caller.
+  struct Sent {
+    std::string id;
+    size_t node = 0;
+    std::string path;
+    size_t body_size = 0;
+    TimePoint at;
+    // Process of the node that was asked.
+    pid_t pid = -1;
 
-   private:
-    Soak* m_soak;
+    // With the slashes around it.
+    std::string Prefix() const { return path.substr(0, path.find('/', 1) + 1); }
   };
 
   int RandomInt(int low, int high) {
@@ -181,30 +211,33 @@
 
   void StartNode(size_t index) {
     Node& node = m_nodes[index];
+    Disturb(index, BootClock::now());
+    node.seen_version = 0;
     const std::string path =
         absl::StrFormat("%s/%d.toml", m_directory, static_cast<int>(index));
     std::ofstream(path) << absl::StrFormat(
         "node_name = \"vm-%d\"\nip = \"%s\"\nzone = \"z%d\"\n"
         "service = \"%s\"\napp_addr = \"%s:%d\"\n"
         "bounds = [\"grace_s=6\", \"retry_budget_ratio=0.2\"]\n"
-        "[zones]\nz0 = \"r\"\nz1 = \"r\"\n[listen]\ninbound = \"%s:%d\"\n"
+        "[zones]\nz0 = \"r\"\nz1 = \"r\"\nz2 = \"r\"\n"
+        "[listen]\ninbound = \"%s:%d\"\n"
         "outbound = \"%s:%d\"\nready = \"%s:%d\"\n[platform]\n"
-        "address = \"127.0.0.1:%d\"\n",
-        static_cast<int>(index), node.ip, static_cast<int>(index % 2),
+        "address = \"%s\"\n",
+        static_cast<int>(index), node.ip, static_cast<int>(index % 3),
         node.service, node.ip, node.server_port, node.ip, m_peer_port, node.ip,
-        node.caller_port, node.ip, node.health_port, m_store_port);
+        node.caller_port, node.ip, node.health_port,
+        m_store.EntryOf(index).ToString());
     const std::string variable = "VANILLATILLER_NODE_FILE=" + path;
     char* environment[] = {const_cast<char*>(variable.c_str()), nullptr};
-    char program[] = VTADAPTER;
-    char* arguments[] = {program, nullptr};
+    char* arguments[] = {m_program.data(), nullptr};
     posix_spawn_file_actions_t actions;
     posix_spawn_file_actions_init(&actions);
     const std::string log = path + ".log";
     posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log.c_str(),
                                      O_WRONLY | O_CREAT | O_APPEND, 0600);
-    if (posix_spawn(&node.pid, program, &actions, nullptr, arguments,
+    if (posix_spawn(&node.pid, m_program.c_str(), &actions, nullptr, arguments,
                     environment) != 0) {
-      ReportViolation("cannot start " + std::string(program));
+      ReportViolation("cannot start " + m_program);
     }
     posix_spawn_file_actions_destroy(&actions);
   }
@@ -233,117 +266,58 @@
 
   // Store
 
-  void ListenStore() {
-    std::string reason;
-    m_store_listener = TcpListener::Listen(
-        &m_loop, {"127.0.0.1", m_store_port},
-        [this](std::shared_ptr<TcpConnection> connection, TimePoint now) {
-          HttpServerSession::Start(&m_loop, std::move(connection), &m_store, {},
-                                   now);
-        },
-        &reason);
-  }
-
-  void Put(const std::string& key, const std::string& value, TimePoint now) {
-    std::string encoded;
-    absl::Base64Escape(value, &encoded);
-    ++m_revision;
-    m_items[key] = absl::StrFormat(
-        R"({"key":"%s","value":"%s","revision":%d,"created_rev":1,"lease":0,)"
-        R"("current_rev":%d})",
-        key, encoded, m_revision, m_revision);
-    m_history.push_back(m_items[key]);
-    if (m_store_is_down) return;
-    for (const auto& [session, after] : std::exchange(m_watches, {})) {
-      AnswerWatch(session, after, now);
-    }
-  }
-
-  void AnswerWatch(const HttpResponderPtr& session, size_t after,
-                   TimePoint now) {
-    std::string events;
-    for (size_t i = after; i < m_history.size(); ++i) {
-      events += (events.empty() ? "" : ",") + m_history[i];
-    }
-    session->Respond({200,
-                      {},
-                      absl::StrFormat(R"({"events":[%s],"current_rev":%d})",
-                                      events, m_revision)},
-                     now);
-  }
-
-  void OnStoreRequest(const HttpResponderPtr& session,
-                      const HttpRequest& request, TimePoint now) {
-    if (m_store_is_down) {
-      session->Respond({503, {}, ""}, now);
-      return;
-    }
-    if (request.target.find("kv-key") != std::string::npos) {
-      session->Respond({200, {}, m_items["op/config"]}, now);
-      return;
-    }
-    if (request.target.find("kv-range") != std::string::npos) {
-      std::string items;
-      for (const auto& [key, item] : m_items) {
-        if (!key.starts_with("servers/")) continue;
-        items += (items.empty() ? "" : ",") + item;
-      }
-      session->Respond(
-          {200,
-           {},
-           absl::StrFormat(
-               R"({"items":[%s],"more_pages":false,"current_rev":%d})", items,
-               m_revision)},
-          now);
-      return;
-    }
-    const size_t at = request.target.find("after=");
-    const size_t after =
-        std::strtoul(request.target.c_str() + at + 6, nullptr, 10);
-    if (after < m_history.size()) {
-      AnswerWatch(session, after, now);
-      return;
-    }
-    m_watches[session] = after;
-  }
-
-  // Route /move/ alternates between the services with each version.
+  // Route /move/ alternates between the services with each version, each
+  // version adds a route, and the limit of bodies changes at times.
   void PublishConfig(TimePoint now) {
-    ++m_version;
-    const auto rule = [](const char* name, const char* type, const char* prefix,
-                         const char* service) {
-      return absl::StrFormat(
-          R"({"name":"%s","type":"%s","target_latency_ms":500,"priority":1,)"
-          R"("match":{"prefix":"%s"},"action":{"service":"%s",)"
-          R"("timeout_ms":2500,"max_attempts":2}})",
-          name, type, prefix, service);
+    ConfigHistory::Version version;
+    version.number = ++m_version;
+    version.max_body_bytes = RandomInt(0, 1) == 0 ? kSmallBody : kLargeBody;
+    std::string rules;
+    const auto add = [&version, &rules](const std::string& name,
+                                        const char* type,
+                                        const std::string& service) {
+      version.services["/" + name + "/"] = service;
+      rules +=
+          (rules.empty() ? "" : ",") +
+          absl::StrFormat(R"({"name":"%s","type":"%s","target_latency_ms":500,)"
+                          R"("priority":1,"match":{"prefix":"/%s/"},)"
+                          R"("action":{"service":"%s","timeout_ms":2500,)"
+                          R"("max_attempts":2}})",
+                          name, type, name, service);
     };
-    Put("op/config",
-        absl::StrFormat(
-            R"({"version":%d,"limits":{"max_header_bytes":16384,)"
-            R"("max_body_bytes":100000,"header_timeout_ms":3000,)"
-            R"("idle_timeout_ms":15000},"listeners":[{"host":"soak",)"
-            R"("rules":[%s,%s,%s]}],"clusters":[]})",
-            m_version, rule("many", "safe", "/many/", "alpha"),
-            rule("once", "unsafe", "/once/", "beta"),
-            rule("move", "safe", "/move/", ServiceOfMove())),
-        now);
+    add("many", "safe", "alpha");
+    add("once", "unsafe", "beta");
+    add("move", "safe", kServices[m_version % 2]);
+    for (int i = std::max(1, m_version - kKeptRoutes); i <= m_version; ++i) {
+      add(VersionRoute(i), "safe", "alpha");
+    }
+    m_store.Put("op/config",
+                absl::StrFormat(
+                    R"({"version":%d,"limits":{"max_header_bytes":16384,)"
+                    R"("max_body_bytes":%d,"header_timeout_ms":3000,)"
+                    R"("idle_timeout_ms":15000},"listeners":[{"host":"soak",)"
+                    R"("rules":[%s]}],"clusters":[]})",
+                    m_version, version.max_body_bytes, rules),
+                now);
+    m_history.Add(std::move(version), now);
   }
 
-  const char* ServiceOfMove() const { return kServices[m_version % 2]; }
+  static std::string VersionRoute(int version) {
+    return absl::StrFormat("v%d", version);
+  }
 
   void PublishServer(size_t index, TimePoint now) {
     const Node& node = m_nodes[index];
-    Put("servers/" + node.server_id,
-        absl::StrFormat(
-            R"({"address":"%s:%d","born":1700000000000,"info":{)"
-            R"("service":"%s","version":"v","zone":"z%d","slots":8},)"
-            R"("status":{"state":"%s","sequence":1,)"
-            R"("warmup_remaining_ms":0}})",
-            NetworkIp(index), node.server_port, node.service,
-            static_cast<int>(index % 2),
-            node.is_draining ? "draining" : "ready"),
-        now);
+    m_store.Put("servers/" + node.server_id,
+                absl::StrFormat(
+                    R"({"address":"%s:%d","born":1700000000000,"info":{)"
+                    R"("service":"%s","version":"v","zone":"z%d","slots":8},)"
+                    R"("status":{"state":"%s","sequence":1,)"
+                    R"("warmup_remaining_ms":0}})",
+                    NetworkIp(index), node.server_port, node.service,
+                    static_cast<int>(index % 3),
+                    node.is_draining ? "draining" : "ready"),
+                now);
   }
 
   // Backend servers
@@ -364,7 +338,7 @@
     }
     if (!request.target.starts_with("/move/") &&
         node.service !=
-            (request.target.starts_with("/many/") ? "alpha" : "beta")) {
+            (request.target.starts_with("/once/") ? "beta" : "alpha")) {
       ReportViolation("request " + id +
                       " ran at a service that its route does not target");
     }
@@ -384,32 +358,90 @@
 
   // Callers
 
-  std::shared_ptr<FakeCall> Send(
-      size_t index, const std::string& path,
-      const std::function<void(const FakeCall&)>& done) {
-    const std::string id = absl::StrFormat("r%d", ++m_calls);
+  // Sends a request on a connection of its own, or on the kept one of the node
+  // if that is free.
+  void Send(size_t index, const std::string& path, bool may_keep,
+            const std::function<void(const FakeCall&)>& done) {
+    const TimePoint now = BootClock::now();
+    Node& node = m_nodes[index];
+    Sent sent{absl::StrFormat("r%d", ++m_calls), index, path, 0, now, node.pid};
+    std::string body = path.starts_with("/once/") ? "charge" : "";
+    if (path.ends_with("/large")) body = std::string(kMediumBody, 'b');
+    sent.body_size = body.size();
     auto call = std::make_shared<FakeCall>();
     call->session = std::make_shared<HttpClientSession>(
-        &m_loop, SocketAddress{m_nodes[index].ip, m_nodes[index].caller_port},
-        "");
-    HttpRequest request{path.starts_with("/once/") ? "POST" : "GET",
-                        path,
-                        {},
-                        path.starts_with("/once/") ? "charge" : ""};
+        &m_loop, SocketAddress{node.ip, node.caller_port}, "");
+    if (may_keep) {
+      if (node.kept && node.kept->IsReusable(now)) {
+        call->session = node.kept;
+      } else {
+        node.kept = call->session;
+      }
+    }
+    HttpRequest request{body.empty() ? "GET" : "POST", path, {}, body};
     request.headers.Add("Host", "soak");
-    request.headers.Add("Request-Id", id);
+    request.headers.Add("Request-Id", sent.id);
     request.headers.Add("Deadline-Ms", "3000");
     call->session->Send(
         request,
-        [this, call, id, path, done](ExchangeResult result, TimePoint) {
+        [this, call, sent, done](ExchangeResult result, TimePoint later) {
           call->is_over = true;
           call->result = std::move(result);
-          CheckAnswer(id, path, *call);
+          CheckAnswer(sent.id, sent.path, *call);
+          CheckConfiguration(sent, *call, later);
           done(*call);
           call->session.reset();
         },
-        BootClock::now());
-    return call;
+        now);
+  }
+
+  // An answer of a node must follow from a version that may be in force there.
+  void CheckConfiguration(const Sent& sent, const FakeCall& call,
+                          TimePoint now) {
+    if (call.result.end != ExchangeEnd::kAnswered) return;
+    const HttpResponse& answer = call.result.response;
+    const std::string served_by(answer.headers.Find("Served-By").value_or(""));
+    const bool is_denied = answer.status == 404 || answer.status == 413;
+    if (!is_denied && served_by.empty()) return;
+    Node& node = m_nodes[sent.node];
+    CheckRollback(sent, is_denied, now);
+    if (sent.at < node.settled_at) return;
+    ++m_judged;
+    const std::string what = absl::StrFormat(
+        "request %s (%s) sent %.3f at node %d: status %d, run by '%s'", sent.id,
+        sent.path, std::chrono::duration<double>(sent.at - m_start).count(),
+        static_cast<int>(sent.node), answer.status, served_by);
+    if (answer.status == 413) {
+      if (!m_history.MayRefuseBody(sent.body_size, sent.at, now)) {
+        ReportViolation("DENIED " + what);
+      }
+      return;
+    }
+    if (!m_history.AllowedServices(sent.Prefix(), sent.at, now)
+             .contains(served_by)) {
+      ReportViolation((is_denied ? "DENIED " : "CONFIG ") + what);
+    }
+  }
+
+  // A process that has shown the effect of a version must not fall behind it.
+  void CheckRollback(const Sent& sent, bool is_denied, TimePoint now) {
+    Node& node = m_nodes[sent.node];
+    int version = 0;
+    if (std::sscanf(sent.path.c_str(), "/v%d/", &version) != 1) return;
+    if (sent.pid != node.pid) return;
+    if (!is_denied) {
+      if (version <= node.seen_version) return;
+      node.seen_version = version;
+      node.seen_at = now;
+      return;
+    }
+    if (version <= node.seen_version && version > m_version - kKeptRoutes &&
+        sent.at > node.seen_at + kRollbackSlack) {
+      ReportViolation(absl::StrFormat(
+          "CONFIG request %s for the route of version %d denied at node %d, "
+          "which has served that of version %d",
+          sent.id, version, static_cast<int>(sent.node), node.seen_version));
+    }
   }
 
   void CheckAnswer(const std::string& id, const std::string& path,
@@ -434,8 +466,15 @@
   void SendNextCall() {
     if (BootClock::now() >= m_faults_end) return;
     const size_t index = RandomInt(0, static_cast<int>(m_nodes.size()) - 1);
-    const char* const paths[] = {"/many/a", "/once/b", "/move/c"};
-    Send(index, paths[RandomInt(0, 2)], [](const FakeCall&) {});
+    // Also a route that has just been dropped, and one that will be added.
+    const std::string of_version =
+        "/" + VersionRoute(RandomInt(std::max(1, m_version - kKeptRoutes - 1),
+                                     m_version + 1));
+    const std::string paths[] = {"/many/a",        "/once/b", "/move/c",
+                                 "/once/large",    "/move/c", of_version + "/d",
+                                 of_version + "/d"};
+    Send(index, paths[RandomInt(0, std::size(paths) - 1)], RandomInt(0, 1) == 0,
+         [](const FakeCall&) {});
     m_loop.Schedule(BootClock::now() + milliseconds(RandomInt(2, 20)),
                     [this](TimePoint) { SendNextCall(); });
   }
@@ -456,10 +495,22 @@
   void InjectNextFault() {
     const TimePoint now = BootClock::now();
     if (now >= m_faults_end) return;
-    static constexpr Fault kFaults[] = {
-        &Soak::Kill,      &Soak::Terminate, &Soak::Pause,  &Soak::Reset,
-        &Soak::Silence,   &Soak::StoreDown, &Soak::Change, &Soak::Drain,
-        &Soak::Terminate, &Soak::Change,    &Soak::Hangup};
+    static constexpr Fault kFaults[] = {&Soak::Kill,
+                                        &Soak::Terminate,
+                                        &Soak::Pause,
+                                        &Soak::Reset,
+                                        &Soak::Silence,
+                                        &Soak::StoreDown,
+                                        &Soak::Change,
+                                        &Soak::Drain,
+                                        &Soak::Terminate,
+                                        &Soak::Change,
+                                        &Soak::Hangup,
+                                        &Soak::StoreTurnsAway,
+                                        &Soak::Change,
+                                        &Soak::StoreTurnsAway,
+                                        &Soak::StoreConnectionsGoDark,
+                                        &Soak::StoreTurnsAway};
     const int fault = RandomInt(0, std::size(kFaults) - 1);
     (this->*kFaults[fault])(RandomInt(0, static_cast<int>(m_nodes.size()) - 1),
                             now);
@@ -472,17 +523,36 @@
     m_settled_at = std::max(m_settled_at, until + seconds(4));
   }
 
+  // The node has a disturbance of its own until then.
+  void Disturb(size_t index, TimePoint until) {
+    TimePoint& settled_at = m_nodes[index].settled_at;
+    settled_at = std::max(settled_at, until + kStableTime);
+  }
+  void DisturbAll(TimePoint until) {
+    for (size_t i = 0; i < m_nodes.size(); ++i) Disturb(i, until);
+  }
+  // Judges nothing by times that this process may have got wrong.
+  void CheckLag(TimePoint due) {
+    const TimePoint now = BootClock::now();
+    if (now - due > kMaxLag) DisturbAll(now);
+    m_loop.Schedule(now + kLagCheckPeriod, [this, now](TimePoint) {
+      CheckLag(now + kLagCheckPeriod);
+    });
+  }
+
   void Signal(size_t index, int signal) {
     if (m_nodes[index].pid > 0) kill(m_nodes[index].pid, signal);
   }
 
   void Kill(size_t index, TimePoint now) {
     LogEvent(absl::StrFormat("kill %d", static_cast<int>(index)));
+    Disturb(index, now);
     ExtendUnsettledPeriod(now);
     Signal(index, SIGKILL);
   }
   void Terminate(size_t index, TimePoint now) {
     LogEvent(absl::StrFormat("terminate %d", static_cast<int>(index)));
+    Disturb(index, now + seconds(6));
     ExtendUnsettledPeriod(now + seconds(6));
     Signal(index, SIGTERM);
   }
@@ -494,6 +564,7 @@
     const Duration length = milliseconds(RandomInt(100, 4000));
     LogEvent(absl::StrFormat("pause %d for %.1f s", static_cast<int>(index),
                              std::chrono::duration<double>(length).count()));
+    Disturb(index, now + length);
     ExtendUnsettledPeriod(now + length);
     Signal(index, SIGSTOP);
     m_loop.Schedule(now + length,
@@ -501,27 +572,74 @@
   }
   void Reset(size_t index, TimePoint now) {
     LogEvent(absl::StrFormat("reset %d", static_cast<int>(index)));
+    Disturb(index, now);
     ExtendUnsettledPeriod(now);
     m_nodes[index].network->Reset();
   }
   void Silence(size_t index, TimePoint now) {
     LogEvent(absl::StrFormat("silence %d", static_cast<int>(index)));
+    Disturb(index, now);
     ExtendUnsettledPeriod(now);
     m_nodes[index].network->DropTraffic();
   }
   void StoreDown(size_t, TimePoint now) {
     const Duration length = milliseconds(RandomInt(200, 6000));
-    LogEvent("store down");
+    const SoakStore::Service service = DrawStoreFault();
+    LogEvent(absl::StrFormat("store down (%d) for %.1f s",
+                             static_cast<int>(service),
+                             std::chrono::duration<double>(length).count()));
     ExtendUnsettledPeriod(now + length);
-    m_store_is_down = true;
-    for (const auto& [session, after] : std::exchange(m_watches, {})) {
-      session->Abort();
+    m_store_down_until = std::max(m_store_down_until, now + length);
+    for (size_t i = 0; i < m_nodes.size(); ++i) {
+      FailStoreFor(i, service, now + length);
     }
-    m_loop.Schedule(now + length,
-                    [this](TimePoint) { m_store_is_down = false; });
+  }
+  // The store fails for some nodes, often for those that read it, and serves
+  // the others.
+  void StoreTurnsAway(size_t index, TimePoint now) {
+    const Duration length = milliseconds(RandomInt(500, 7500));
+    const SoakStore::Service service = DrawStoreFault();
+    const size_t count =
+        RandomInt(1, std::min<int>(5, static_cast<int>(m_nodes.size()) / 2));
+    std::vector<size_t> nodes = m_store.TakeNodesByCalls();
+    if (RandomInt(0, 2) == 0) nodes.insert(nodes.begin(), index);
+    nodes.resize(count);
+    std::string names;
+    for (const size_t node : nodes) {
+      names += " " + std::to_string(node);
+      FailStoreFor(node, service, now + length);
+    }
+    ExtendUnsettledPeriod(now + length);
+    LogEvent(absl::StrFormat("store fails (%d) for%s for %.1f s",
+                             static_cast<int>(service), names,
+                             std::chrono::duration<double>(length).count()));
+  }
+  void StoreConnectionsGoDark(size_t index, TimePoint now) {
+    LogEvent(absl::StrFormat("store connections of %d go dark",
+                             static_cast<int>(index)));
+    Disturb(index, now);
+    ExtendUnsettledPeriod(now);
+    m_store.SilenceConnections(index);
+  }
+  SoakStore::Service DrawStoreFault() {
+    using Service = SoakStore::Service;
+    static constexpr Service kFaults[] = {
+        Service::kSilent,  Service::kSilent, Service::kBusy, Service::kSilent,
+        Service::kTooMany, Service::kResets, Service::kSlow};
+    return kFaults[RandomInt(0, std::size(kFaults) - 1)];
+  }
+  void FailStoreFor(size_t index, SoakStore::Service service, TimePoint end) {
+    Node& node = m_nodes[index];
+    node.store_fault_end = std::max(node.store_fault_end, end);
+    Disturb(index, node.store_fault_end);
+    m_store.SetService(index, service);
+    m_loop.Schedule(end, [this, index](TimePoint later) {
+      if (later < m_nodes[index].store_fault_end) return;
+      m_store.SetService(index, SoakStore::Service::kServes);
+    });
   }
   void Change(size_t, TimePoint now) {
-    if (m_store_is_down) return;
+    if (now < m_store_down_until) return;
     PublishConfig(now);
     LogEvent(absl::StrFormat("version %d", m_version));
   }
@@ -532,7 +650,7 @@
     for (const Node& other : m_nodes) {
       others += !other.is_draining && other.service == node.service ? 1 : 0;
     }
-    if (m_store_is_down || (!node.is_draining && others < 2)) return;
+    if (now < m_store_down_until || (!node.is_draining && others < 2)) return;
     node.is_draining = !node.is_draining;
     node.drain_acknowledged = now;
     LogEvent(absl::StrFormat("%s %d", node.is_draining ? "drain" : "undrain",
@@ -544,7 +662,7 @@
   void CheckSettled(TimePoint now) {
     auto left = std::make_shared<size_t>(m_nodes.size());
     for (size_t i = 0; i < m_nodes.size(); ++i) {
-      Send(i, "/move/end", [this, i, left](const FakeCall& call) {
+      Send(i, "/move/end", false, [this, i, left](const FakeCall& call) {
         const HttpResponse& answer = call.result.response;
         // A server randomly fails one request in twenty.
         if (answer.status != 200 && answer.status != 500) {
@@ -552,7 +670,7 @@
                                           static_cast<int>(i), answer.status));
         }
         if (answer.status == 200 &&
-            answer.headers.Find("Served-By") != ServiceOfMove()) {
+            answer.headers.Find("Served-By") != kServices[m_version % 2]) {
           ReportViolation(absl::StrFormat("node %d has an old version",
                                           static_cast<int>(i)));
         }
@@ -568,17 +686,13 @@
   EventLoop m_loop;
   boost::random::mt19937_64 m_random;
   const Duration m_length;
+  std::string m_program;
   std::string m_directory;
   uint16_t m_peer_port = 0;
-  uint16_t m_store_port = 0;
-  Store m_store{this};
-  std::unique_ptr<TcpListener> m_store_listener;
-  std::map<HttpResponderPtr, size_t> m_watches;
-  std::map<std::string, std::string> m_items;
-  std::vector<std::string> m_history;
-  size_t m_revision = 0;
+  SoakStore m_store;
+  ConfigHistory m_history;
   int m_version = 0;
-  bool m_store_is_down = false;
+  TimePoint m_store_down_until;
   std::vector<Node> m_nodes;
   TimePoint m_start;
   TimePoint m_faults_end;
@@ -586,6 +700,7 @@
   size_t m_calls = 0;
   size_t m_answered = 0;
   size_t m_unanswered = 0;
+  size_t m_judged = 0;
   size_t m_violations = 0;
   std::map<std::string, int> m_executions;
   std::set<std::string> m_refused;
@@ -602,6 +717,7 @@
   std::setvbuf(stdout, nullptr, _IOLBF, 0);
   vanillatiller::Soak soak(static_cast<uint64_t>(argument(1, 1)),
                            std::chrono::seconds(argument(2, 15)),
-                           static_cast<size_t>(argument(3, 6)));
+                           static_cast<size_t>(argument(3, 6)),
+                           argc > 4 ? argv[4] : VTADAPTER);
   return soak.Run() == 0 ? 0 : 1;
 }
--- a/Tests/platform/platform_test.cc
+++ b/Tests/platform/platform_test.cc
@@ -490,6 +490,40 @@
   }
 }
 
+// A report of another node used to restart the time that a node had been
+// without the store, so that the log contradicted its own times.
+BOOST_FIXTURE_TEST_CASE(OutageIsTimedFromItsFirstFailure, StoreFixture) {
+  LogPipe log;
+  StoreClient logged(&pair.loop, store.address, pair.front.get(), &log.log);
+  store.script = {{"/-/kv-range", {{200, kEmptyList}}},
+                  {"/-/kv-key", {{404, ""}}}};
+  logged.Start(false, BootClock::now());
+  BOOST_TEST_REQUIRE(
+      RunUntil(&pair.loop, [&] { return store.calls.size() == 4; }));
+  store.is_silent = true;
+  logged.Confirm(BootClock::now());
+  BOOST_TEST_REQUIRE(
+      RunUntil(&pair.loop, [&] { return logged.IsPlatformUnreachable(); }));
+  const TimePoint lost = BootClock::now();
+  store.is_silent = false;
+  TimePoint before_back;
+  BOOST_TEST_REQUIRE(RunUntil(&pair.loop, [&] {
+    if (!logged.IsPlatformUnreachable()) return true;
+    before_back = BootClock::now();
+    logged.OnConfirmed(before_back, before_back);
+    return false;
+  }));
+  log.log.Flush();
+  const std::string text = log.Read();
+  BOOST_TEST(text.find("event=platform-lost vm=test call=confirm "
+                       "reason=timeout sent_ms_ago=") != std::string::npos);
+  const std::string_view key = " away_ms=";
+  const size_t at = text.find(key);
+  BOOST_TEST_REQUIRE(at != std::string::npos);
+  BOOST_TEST(std::strtod(text.c_str() + at + key.size(), nullptr) >=
+             ToMilliseconds(before_back - lost));
+}
+
 // What a call confirms is as old as the call, however late its answer is.
 BOOST_FIXTURE_TEST_CASE(ConfirmationIsAsOldAsItsCall, StoreFixture) {
   store.script = {{"/-/kv-range", {{200, kEmptyList}}},
--- a/Tests/relay_harness.cc
+++ b/Tests/relay_harness.cc
@@ -80,6 +80,27 @@
   loop->Run();
 }
 
+LogPipe::LogPipe()
+    : log(
+          [this] {
+            BOOST_TEST_REQUIRE(pipe2(m_ends, O_NONBLOCK) == 0);
+            return m_ends[1];
+          }(),
+          "test") {}
+
+LogPipe::~LogPipe() {
+  for (const int end : m_ends) close(end);
+}
+
+std::string LogPipe::Read() {
+  std::string text;
+  char buffer[4096];
+  for (ssize_t n = 0; (n = read(m_ends[0], buffer, sizeof(buffer))) > 0;) {
+    text.append(buffer, static_cast<size_t>(n));
+  }
+  return text;
+}
+
 ProtocolNames TestNames() {
   ProtocolNames names;
   names.authority = "Test-Authority";
--- a/Tests/relay_harness.h
+++ b/Tests/relay_harness.h
@@ -20,6 +20,23 @@
 // Runs `loop` for the given duration.
 void RunFor(EventLoop* loop, Duration time);
 
+// A log whose lines can be read. Lines beyond what a pipe holds are lost.
+struct LogPipe {
+  LogPipe();
+  ~LogPipe();
+  LogPipe(const LogPipe&) = delete;
+  LogPipe& operator=(const LogPipe&) = delete;
+
+  // Returns the lines that were flushed since the last call.
+  std::string Read();
+
+ private:
+  int m_ends[2];
+
+ public:
+  EventLog log;
+};
+
 // Header names used by the tests.
 ProtocolNames TestNames();
 
