Eventio, Relay: Apply changed limits to connections that are open

Cause: each connection kept a copy of the limits that held when it was opened, the built-in ones if that was before the first configuration. Ruled out: routes and time-outs of requests are taken from the version in force when a request is complete.

Change: connections share the limits. Each message is read under those that hold when it begins; a time-out that was raised meanwhile is waited for.

--- a/Source/eventio/http_reader.h
+++ b/Source/eventio/http_reader.h
@@ -55,6 +55,8 @@
   Result ReadEof();
   ParsedMessage Take();
 
+  // Must not be called within a message.
+  void SetLimits(const Limits& limits) { m_limits = limits; }
   // Set if the next response answers a HEAD request.
   void ExpectNoBody(bool expected) { m_no_body = expected; }
   // Whether a message has been partially read.
@@ -78,7 +80,7 @@
   bool TakeBodyBytes(size_t size);
   void ReturnBodyBytes();
 
-  const Limits m_limits;
+  Limits m_limits;
   http_parser m_parser;
   ParsedMessage m_message;
   size_t m_header_bytes = 0;
--- a/Source/eventio/http_server_session.cc
+++ b/Source/eventio/http_server_session.cc
@@ -19,25 +19,25 @@
 
 std::shared_ptr<HttpServerSession> HttpServerSession::Start(
     EventLoop* loop, std::shared_ptr<TcpConnection> connection,
-    HttpRequestHandler* handler, const HttpServerLimits& limits,
+    HttpRequestHandler* handler, std::shared_ptr<const HttpServerLimits> limits,
     TimePoint now) {
-  std::shared_ptr<HttpServerSession> session(
-      new HttpServerSession(loop, std::move(connection), handler, limits));
+  if (!limits) limits = std::make_shared<const HttpServerLimits>();
+  std::shared_ptr<HttpServerSession> session(new HttpServerSession(
+      loop, std::move(connection), handler, std::move(limits)));
   session->m_self = session;
   session->m_connection->SetHandler(session.get());
   session->UpdateTimer(now);
   return session;
 }
 
-HttpServerSession::HttpServerSession(EventLoop* loop,
-                                     std::shared_ptr<TcpConnection> connection,
-                                     HttpRequestHandler* handler,
-                                     const HttpServerLimits& limits)
+HttpServerSession::HttpServerSession(
+    EventLoop* loop, std::shared_ptr<TcpConnection> connection,
+    HttpRequestHandler* handler, std::shared_ptr<const HttpServerLimits> limits)
     : m_loop(loop),
       m_connection(std::move(connection)),
       m_handler(handler),
-      m_limits(limits),
-      m_reader(HttpReader::Kind::kRequests, limits.message) {}
+      m_limits(std::move(limits)),
+      m_reader(HttpReader::Kind::kRequests, m_limits->message) {}
 
 void HttpServerSession::OnData(std::string_view data, TimePoint now) {
   const std::shared_ptr<HttpServerSession> self = shared_from_this();
@@ -66,6 +66,7 @@
 
 bool HttpServerSession::ReadPending(TimePoint now) {
   if (m_pending.empty()) return false;
+  if (!m_reader.IsInMessage()) m_reader.SetLimits(m_limits->message);
   std::string_view data = m_pending;
   const HttpReader::Result result = m_reader.Read(&data);
   m_pending.erase(0, m_pending.size() - data.size());
@@ -216,16 +217,29 @@
   m_loop->Cancel(&m_timer);
   m_timer_kind = kind;
   if (kind == TimerKind::kNone) return;
-  const Duration timeout = kind == TimerKind::kHeader ? m_limits.header_timeout
-                                                      : m_limits.idle_timeout;
+  m_timer_started = now;
+  ScheduleTimer();
+}
+
+Duration HttpServerSession::TimeoutOf(TimerKind kind) const {
+  return kind == TimerKind::kHeader ? m_limits->header_timeout
+                                    : m_limits->idle_timeout;
+}
+
+void HttpServerSession::ScheduleTimer() {
   m_timer = m_loop->Schedule(
-      now + timeout,
+      m_timer_started + TimeoutOf(m_timer_kind),
       [self = shared_from_this()](TimePoint later) { self->OnTimer(later); });
 }
 
 void HttpServerSession::OnTimer(TimePoint now) {
   m_timer = 0;
   if (!m_connection) return;
+  // The limits have been raised since.
+  if (now < m_timer_started + TimeoutOf(m_timer_kind)) {
+    ScheduleTimer();
+    return;
+  }
   if (m_timer_kind == TimerKind::kIdle) {
     CloseAfterResponse();
     return;
--- a/Source/eventio/http_server_session.h
+++ b/Source/eventio/http_server_session.h
@@ -61,6 +61,9 @@
                                     TimePoint now) = 0;
 };
 
+// Limits of a connection. They may change while it is open, as its owner keeps
+// it for as long as it likes: each message and each time-out follows the values
+// that hold then.
 struct HttpServerLimits {
   HttpReader::Limits message;
   // Timeout from the first byte of a request to the end of its headers.
@@ -76,10 +79,11 @@
     : public std::enable_shared_from_this<HttpServerSession>,
       private TcpHandler {
  public:
+  // Null `limits` stand for the default ones.
   static std::shared_ptr<HttpServerSession> Start(
       EventLoop* loop, std::shared_ptr<TcpConnection> connection,
-      HttpRequestHandler* handler, const HttpServerLimits& limits,
-      TimePoint now);
+      HttpRequestHandler* handler,
+      std::shared_ptr<const HttpServerLimits> limits, TimePoint now);
 
   // Starts no further requests and closes the connection after the response to
   // the last request that has started. An idle connection is closed at once,
@@ -107,7 +111,7 @@
 
   HttpServerSession(EventLoop* loop, std::shared_ptr<TcpConnection> connection,
                     HttpRequestHandler* handler,
-                    const HttpServerLimits& limits);
+                    std::shared_ptr<const HttpServerLimits> limits);
 
   void OnConnected(TimePoint) override {}
   void OnData(std::string_view data, TimePoint now) override;
@@ -127,6 +131,8 @@
                TimePoint now);
   void UpdateReading();
   TimerKind NeededTimer() const;
+  Duration TimeoutOf(TimerKind kind) const;
+  void ScheduleTimer();
   // Arms the timer that fits the state of the connection.
   void UpdateTimer(TimePoint now);
   void OnTimer(TimePoint now);
@@ -138,7 +144,7 @@
   EventLoop* m_loop;
   std::shared_ptr<TcpConnection> m_connection;
   HttpRequestHandler* m_handler;
-  HttpServerLimits m_limits;
+  const std::shared_ptr<const HttpServerLimits> m_limits;
   HttpReader m_reader;
   std::string m_pending;
   std::optional<WaitingRequest> m_waiting;
@@ -150,6 +156,7 @@
   bool m_is_processing = false;
   TimerId m_timer = 0;
   TimerKind m_timer_kind = TimerKind::kNone;
+  TimePoint m_timer_started;
   // Keeps the object alive while the connection is open.
   std::shared_ptr<HttpServerSession> m_self;
 };
--- a/Source/relay/relay.cc
+++ b/Source/relay/relay.cc
@@ -114,10 +114,10 @@
                 {"before", std::to_string(m_router.config_version())},
                 {"routes", std::to_string(config.routes.size())}},
                now);
-  m_caller_limits.message = {config.limits.max_header_bytes,
-                             config.limits.max_body_bytes};
-  m_caller_limits.header_timeout = config.limits.header_timeout;
-  m_caller_limits.idle_timeout = config.limits.idle_timeout;
+  m_caller_limits->message = {config.limits.max_header_bytes,
+                              config.limits.max_body_bytes};
+  m_caller_limits->header_timeout = config.limits.header_timeout;
+  m_caller_limits->idle_timeout = config.limits.idle_timeout;
   m_router.SetRoutes(std::make_shared<const RouteTable>(config));
   if (HasRoutesAndServers()) m_router.StartServing(now);
 }
--- a/Source/relay/relay.h
+++ b/Source/relay/relay.h
@@ -154,7 +154,9 @@
   std::map<PeerCallKey, CallExecutor::Handle> m_peer_calls;
   std::map<uint64_t, CallExecutor::Handle> m_own_calls;
   std::vector<std::weak_ptr<HttpServerSession>> m_caller_sessions;
-  HttpServerLimits m_caller_limits;
+  // Shared with all connections of callers, which follow its changes.
+  const std::shared_ptr<HttpServerLimits> m_caller_limits =
+      std::make_shared<HttpServerLimits>();
   FleetStateExchange m_fleet_state;
   bool m_has_servers = false;
   // ID and start time of the local server as last seen.
