Relay: Deny requests only on the word of a confirmed configuration

What callers saw: 404 for a route that had been added, from a node that could not know of it; callers do not repeat such a request (DENIED, CONFIG). 413 and 431 in the same way.

Cause: a denial says that no version in force allows the request, as a served route says where the version in force sends it. A node that has had no confirmation for longer than a change may take to come into force cannot say so. It must go on serving with what it knows, but it need not deny.

Change: without a confirmation within the time in which changes must be in force (config_apply_ms), the answer is 503 with Retry-After, and the request has not run. Rejections are counted and logged now.

--- a/Source/eventio/http_server_session.cc
+++ b/Source/eventio/http_server_session.cc
@@ -126,7 +126,7 @@
 void HttpServerSession::RejectRequest(int status, TimePoint now) {
   const ResponseOrder::RequestId id = m_order.Start(false, false);
   m_order.Close();
-  Respond(id, HttpResponse{status, {}, {}}, now);
+  Respond(id, m_handler->Reject(status, m_reader.Current().headers, now), now);
 }
 
 void HttpServerSession::Respond(ResponseOrder::RequestId id,
--- a/Source/eventio/http_server_session.h
+++ b/Source/eventio/http_server_session.h
@@ -52,6 +52,14 @@
     (void)request;
     return false;
   }
+  // Answers a request that cannot be read or exceeds a limit, with `status` or
+  // a better one. `headers` are those that have been read.
+  virtual HttpResponse Reject(int status, const HttpHeaders& headers,
+                              TimePoint now) {
+    (void)headers;
+    (void)now;
+    return {status, {}, {}};
+  }
   // The handler must call Respond(), now or later.
   virtual void OnRequest(const HttpResponderPtr& responder, HttpRequest request,
                          TimePoint now) = 0;
--- a/Source/relay/request_router.cc
+++ b/Source/relay/request_router.cc
@@ -15,6 +15,8 @@
 constexpr int kGatewayTimeout = 504;
 constexpr int kUnavailable = 503;
 constexpr int kNotFound = 404;
+constexpr int kBodyTooLarge = 413;
+constexpr int kHeadersTooLarge = 431;
 constexpr int kFirstServerError = 500;
 // Usual time for a stopped process to be replaced.
 constexpr Duration kRestartTime = std::chrono::milliseconds(1500);
@@ -121,8 +123,9 @@
 
 void RequestRouter::QueueEarlyRequest(const HttpResponderPtr& responder,
                                       HttpRequest http, TimePoint now) {
-  const Duration wait = std::min(
-      kMaxEarlyWait, TimeLeft(http, kDefaultTimeLeft) / kEarlyWaitDivisor);
+  const Duration wait =
+      std::min(kMaxEarlyWait,
+               TimeLeft(http.headers, kDefaultTimeLeft) / kEarlyWaitDivisor);
   EarlyRequest& early = m_early_requests[responder.get()];
   early.responder = responder;
   early.http = std::move(http);
@@ -157,10 +160,10 @@
                now);
 }
 
-Duration RequestRouter::TimeLeft(const HttpRequest& http,
+Duration RequestRouter::TimeLeft(const HttpHeaders& headers,
                                  Duration default_value) const {
   uint64_t left_ms = 0;
-  const auto left = http.headers.Find(m_names->time_left_ms);
+  const auto left = headers.Find(m_names->time_left_ms);
   if (!left || !absl::SimpleAtoi(std::string(*left), &left_ms)) {
     return std::min(default_value, kMaxCallTime);
   }
@@ -189,7 +192,7 @@
   request->is_config_current = m_confirmation.IsCurrent(now);
   if (!request->is_config_current) ++m_metrics->requests_unconfirmed;
   request->received = received;
-  request->deadline = received + TimeLeft(http, route->route().timeout);
+  request->deadline = received + TimeLeft(http.headers, route->route().timeout);
   request->answer_deadline =
       std::min(request->deadline, received + route->route().timeout);
   request->rank = route->route().rank;
@@ -527,14 +530,40 @@
   RemoveRequest(request);
 }
 
+HttpResponse RequestRouter::MakeDenial(int status, const HttpHeaders& headers,
+                                       TimePoint now) {
+  HttpResponse response;
+  response.status = status;
+  if (m_routes && m_confirmation.IsCurrent(now)) return response;
+  response.status = kUnavailable;
+  AddRetryAfter(&response, kRestartTime, TimeLeft(headers, kDefaultTimeLeft),
+                kRestartTime);
+  return response;
+}
+
+HttpResponse RequestRouter::Reject(int status, const HttpHeaders& headers,
+                                   TimePoint now) {
+  const bool depends_on_limits =
+      status == kBodyTooLarge || status == kHeadersTooLarge;
+  HttpResponse response;
+  response.status = status;
+  if (depends_on_limits) response = MakeDenial(status, headers, now);
+  ++m_metrics->answers[response.status];
+  m_log->Write(
+      LogTopic::kRequest, "rejected",
+      {{"request",
+        std::string(headers.Find(m_names->request_id).value_or("-"))},
+       {"problem", std::to_string(status)},
+       {"status", std::to_string(response.status)},
+       {"config", std::to_string(config_version())},
+       {"config_confirmed_ms_before", FormatAge(m_confirmation.at(), now)}},
+      now);
+  return response;
+}
+
 void RequestRouter::RespondUnrouted(const HttpResponderPtr& responder,
                                     const HttpRequest& request, TimePoint now) {
-  HttpResponse response;
-  response.status = m_routes ? kNotFound : kUnavailable;
-  if (!m_routes) {
-    AddRetryAfter(&response, kRestartTime, TimeLeft(request, kDefaultTimeLeft),
-                  kRestartTime);
-  }
+  const HttpResponse response = MakeDenial(kNotFound, request.headers, now);
   ++m_metrics->answers[response.status];
   m_log->Write(
       LogTopic::kRequest, "unrouted",
--- a/Source/relay/request_router.h
+++ b/Source/relay/request_router.h
@@ -72,6 +72,8 @@
   uint64_t config_version() const { return m_routes ? m_routes->version() : 0; }
 
   bool IsIdempotent(const HttpRequest& request) const override;
+  HttpResponse Reject(int status, const HttpHeaders& headers,
+                      TimePoint now) override;
   void OnRequest(const HttpResponderPtr& responder, HttpRequest request,
                  TimePoint now) override;
   void OnCallerDisconnected(const HttpResponderPtr& responder,
@@ -98,7 +100,7 @@
   void RouteRequest(const HttpResponderPtr& responder, HttpRequest http,
                     TimePoint now);
   std::shared_ptr<ActiveRoute> FindRoute(const HttpRequest& http) const;
-  Duration TimeLeft(const HttpRequest& http, Duration default_value) const;
+  Duration TimeLeft(const HttpHeaders& headers, Duration default_value) const;
   void SendToServer(const RequestPtr& request, TimePoint now);
   relay::Call MakeCall(const Request& request, const Candidate& server,
                        TimePoint now);
@@ -136,6 +138,12 @@
               std::string_view decision, RefusalCode code, TimePoint now);
   void RespondUnrouted(const HttpResponderPtr& responder,
                        const HttpRequest& request, TimePoint now);
+  // Returns a response to a request that the configuration does not allow. A
+  // caller does not repeat a request that was denied, so that needs a
+  // configuration that is known to be current; otherwise the request is
+  // refused until then.
+  HttpResponse MakeDenial(int status, const HttpHeaders& headers,
+                          TimePoint now);
   void RemoveRequest(const RequestPtr& request);
 
   // Maximum number of servers tried for one request. Each costs a round trip,
