Relay, Platform: Ask the store again before a node counts as undisturbed

A node that the store had not answered for some time, and for which no reader was served, decided requests by an old configuration for up to 0.6 s after it counted as undisturbed (4 s).

Cause: while readers may ask the store, too, a node paused for 3 s after a call that failed. A call that is sent just before the store serves the node again ends with its time-out of 1.5 s, so the next one came 4.5 s later.

Change: the pause counts from the time at which the failed call was sent. ReadBackoff decides it, without I/O, for StoreClient and for the model of fleet_state_test alike.

The model's calls now take time, time out, go dark and are refused, and a watch that was pending during silence brings nothing.

--- a/Source/relay/relay.h
+++ b/Source/relay/relay.h
@@ -24,6 +24,7 @@
 #include "relay/peer_server.h"           // IWYU pragma: export
 #include "relay/placement.h"             // IWYU pragma: export
 #include "relay/protocol_names.h"        // IWYU pragma: export
+#include "relay/read_backoff.h"          // IWYU pragma: export
 #include "relay/reader_selection.h"      // IWYU pragma: export
 #include "relay/relay_config.h"          // IWYU pragma: export
 #include "relay/relay_metrics.h"         // IWYU pragma: export
--- a/Tests/fleet_state_test.cc
+++ b/Tests/fleet_state_test.cc
@@ -9,6 +9,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "relay/relay.h"
@@ -130,8 +131,13 @@
   }
 };
 
+// How the platform treats the calls of a node.
+enum class Serving : uint8_t { kAnswers, kSilent, kRefuses };
+
 // One node: the exchange with a store client that sees the platform through a
-// watch. The watch polls in each step but costs a call only when it returns.
+// watch and through calls that are answered at once. The watch polls in each
+// step but costs a call only when it returns. Calls take their time, and are
+// repeated as the store client does it.
 class FakeNode : public FleetStateStore, private FleetStateTransport {
  public:
   // Delivers a frame to another node.
@@ -149,7 +155,7 @@
 
   // The first read of everything.
   void Start(const std::vector<FleetNode>& nodes, TimePoint now) {
-    if (can_read) {
+    if (serving == Serving::kAnswers) {
       ++m_platform->calls;
       Advance(m_platform->revision, now);
     }
@@ -159,11 +165,23 @@
     m_exchange.SetNodes(nodes, now);
   }
   void Step(TimePoint now) {
-    m_now = now;
-    if (can_read && m_unanswered_since) {
-      // The platform is asked again and again while it does not answer.
-      m_unanswered_since.reset();
-      Confirm(now);
+    if (m_watch && serving != Serving::kAnswers) {
+      // A silent platform never answers what is pending; a refusal ends it.
+      m_watch->is_dark = true;
+      if (serving == Serving::kRefuses) m_watch.reset();
+    }
+    if (m_watch && now >= m_watch->end) {
+      m_watch.reset();
+      if (m_mode != ReadMode::kFromPeers) Ask(kWatchTimeout, now);
+    }
+    if (m_call) ContinueCall(now);
+    if (m_next_call && now >= *m_next_call) {
+      m_next_call.reset();
+      if (m_mode == ReadMode::kFromPeers) {
+        m_backoff.OnSuccess();
+      } else {
+        Ask(kWatchTimeout, now);
+      }
     }
     if (m_mode != ReadMode::kFromPeers) Watch(now);
     if (now - m_last_tick >= milliseconds(200)) {
@@ -185,18 +203,17 @@
 
   // Silence is noticed only after a call has timed out.
   bool IsPlatformUnreachable() const override {
-    return m_unanswered_since && m_now - *m_unanswered_since >= seconds(1);
+    return m_backoff.failures() > 0;
+  }
+  // The connections to the platform go dark; new ones work.
+  void SilenceConnections() {
+    m_is_connection_dark = true;
+    if (m_watch) m_watch->is_dark = true;
   }
   TimePoint ConfirmedAt() const override { return m_confirmed_at; }
   void Confirm(TimePoint now) override {
-    if (m_unanswered_since) return;
-    if (!can_read) {
-      m_unanswered_since = now;
-      return;
-    }
-    ++m_platform->confirmations;
-    Advance(m_platform->revision, now);
-    OnConfirmed(now, now);
+    if (IsPlatformUnreachable()) return;
+    Ask(kConfirmTimeout, now);
   }
   void OnConfirmed(TimePoint confirmed_at, TimePoint now) override {
     if (confirmed_at <= m_confirmed_at) return;
@@ -224,9 +241,13 @@
     m_listener = std::move(listener);
   }
   void SetReadMode(ReadMode mode, TimePoint now) override {
-    m_mode = mode;
+    const ReadMode before = std::exchange(m_mode, mode);
+    if (mode == ReadMode::kFromPeers || m_call || m_watch) return;
     // A watch begins with a call that is answered at once.
-    if (mode != ReadMode::kFromPeers) Confirm(now);
+    if (!m_next_call || (mode == ReadMode::kReader && before != mode)) {
+      m_next_call.reset();
+      Ask(kWatchTimeout, now);
+    }
   }
   void ApplyFeed(const relay::Feed& feed, TimePoint now) override {
     BOOST_TEST(feed.from_revision() <= m_revision);
@@ -253,8 +274,7 @@
     return item;
   }
 
-  // Whether the platform answers this node.
-  bool can_read = true;
+  Serving serving = Serving::kAnswers;
   uint64_t revision() const { return m_revision; }
   ReadMode mode() const { return m_mode; }
 
@@ -269,8 +289,56 @@
     return m_connected_nodes;
   }
 
+  struct Call {
+    TimePoint sent;
+    Duration timeout{};
+    Duration answer_time{};
+    bool is_lost = false;
+  };
+
+  // A watch that brings changes until it ends, unless it went dark.
+  struct PendingWatch {
+    TimePoint end;
+    bool is_dark = false;
+  };
+
+  // Starts a call that is answered at once, unless one is pending.
+  void Ask(Duration timeout, TimePoint now) {
+    if (m_call) return;
+    const bool is_new_connection =
+        now - m_last_answer >= ReadBackoff::kMaxIdleConnection;
+    if (is_new_connection) m_is_connection_dark = false;
+    m_call = Call{now, timeout,
+                  is_new_connection ? kAnswerTime + kConnectTime : kAnswerTime};
+  }
+  void ContinueCall(TimePoint now) {
+    const Duration taken = now - m_call->sent;
+    // A silent platform does not answer later what was sent meanwhile.
+    m_call->is_lost =
+        m_call->is_lost || m_is_connection_dark || serving == Serving::kSilent;
+    const bool is_lost = m_call->is_lost;
+    if (taken < (is_lost ? m_call->timeout : m_call->answer_time)) return;
+    const Call call = *std::exchange(m_call, std::nullopt);
+    if (is_lost || serving == Serving::kRefuses) {
+      // The connection is closed.
+      m_is_connection_dark = false;
+      m_last_answer = {};
+      m_next_call = now + m_backoff.OnFailure(m_mode, !is_lost, call.sent, now);
+      return;
+    }
+    m_last_answer = now;
+    m_backoff.OnSuccess();
+    ++m_platform->confirmations;
+    Advance(m_platform->revision, now);
+    OnConfirmed(call.sent, now);
+    if (!m_watch && m_mode != ReadMode::kFromPeers) {
+      m_watch = PendingWatch{now + kWatchWait};
+    }
+  }
   void Watch(TimePoint now) {
-    if (!can_read || m_platform->revision <= m_revision) return;
+    if (!m_watch || m_watch->is_dark || m_platform->revision <= m_revision) {
+      return;
+    }
     ++m_platform->calls;
     Advance(m_platform->revision, now);
   }
@@ -293,10 +361,22 @@
   Listener m_listener;
   uint64_t m_revision = 0;
   ReadMode m_mode = ReadMode::kReader;
+  // A round trip, and what a new connection adds.
+  static constexpr Duration kAnswerTime = milliseconds(40);
+  static constexpr Duration kConnectTime = milliseconds(80);
+  static constexpr Duration kWatchTimeout = milliseconds(1500);
+  static constexpr Duration kConfirmTimeout = milliseconds(1000);
+  static constexpr Duration kWatchWait = milliseconds(21500);
+
   TimePoint m_last_tick;
-  TimePoint m_now;
   TimePoint m_confirmed_at;
-  std::optional<TimePoint> m_unanswered_since;
+  std::optional<Call> m_call;
+  std::optional<TimePoint> m_next_call;
+  TimePoint m_last_answer;
+  // Whether the connection that would be used again is dark.
+  bool m_is_connection_dark = false;
+  std::optional<PendingWatch> m_watch;
+  ReadBackoff m_backoff;
   FleetStateExchange m_exchange;
 };
 
@@ -315,7 +395,8 @@
           m_frames.push_back(
               {now + kDelay, index, IndexOf(to), frame, frame.has_feed()});
         });
-    node->can_read = !unreadable.contains(index);
+    node->serving =
+        unreadable.contains(index) ? Serving::kSilent : Serving::kAnswers;
     m_nodes[index] = std::move(node);
     m_nodes[index]->Start(m_nodes_list, now);
   }
@@ -339,12 +420,15 @@
     }
   }
   void SetReadable(size_t index, bool is_readable) {
-    if (is_readable) {
+    SetServing(index, is_readable ? Serving::kAnswers : Serving::kSilent);
+  }
+  void SetServing(size_t index, Serving serving) {
+    if (serving == Serving::kAnswers) {
       unreadable.erase(index);
     } else {
       unreadable.insert(index);
     }
-    m_nodes[index]->can_read = is_readable;
+    m_nodes[index]->serving = serving;
   }
   std::vector<size_t> Readers() const {
     std::vector<size_t> readers;
@@ -536,46 +620,195 @@
   }
 }
 
-// Random series of freezes, restarts, cuts and changes. A node must never go
-// back to a lower revision. A node that has been undisturbed for some time must
-// know of each change in time, whatever befalls the others. Once the failures
-// end, all nodes must know of all changes in time.
+void SilenceOthers(FakeFleet* fleet, size_t node) {
+  for (size_t i = 0; i < fleet->size(); ++i) {
+    if (i != node) fleet->SetServing(i, Serving::kSilent);
+  }
+}
+
+// The platform serves a node again, and no other one for long after. That node
+// must know of changes by the time at which it counts as undisturbed. Pauses
+// used to come on top of time-outs, and kept connections that had gone dark
+// cost a time-out more.
+BOOST_AUTO_TEST_CASE(NodeThatIsServedAgainFollowsInTime) {
+  struct Case {
+    const char* what;
+    std::function<void(FakeFleet*, size_t node)> fail;
+    std::function<void(FakeFleet*, size_t node)> end;
+  };
+  const auto serve = [](FakeFleet* fleet, size_t i) {
+    fleet->SetServing(i, Serving::kAnswers);
+  };
+  const std::vector<Case> cases = {
+      {"silent",
+       [](FakeFleet* fleet, size_t i) {
+         fleet->SetServing(i, Serving::kSilent);
+       },
+       serve},
+      {"refused",
+       [](FakeFleet* fleet, size_t i) {
+         fleet->SetServing(i, Serving::kRefuses);
+       },
+       serve},
+      {"dark connections", [](FakeFleet*, size_t) {},
+       [](FakeFleet* fleet, size_t i) { fleet->node(i).SilenceConnections(); }},
+  };
+  for (const Case& item : cases) {
+    for (Duration away{}; away < seconds(10); away += milliseconds(100)) {
+      BOOST_TEST_CONTEXT(item.what << ", " << ToMilliseconds(away) << " ms") {
+        FakeFleet fleet(18);
+        fleet.Run(seconds(3));
+        size_t node = 0;
+        while (fleet.node(node).mode() != ReadMode::kFromPeers) ++node;
+        item.fail(&fleet, node);
+        SilenceOthers(&fleet, node);
+        fleet.Run(away);
+        item.end(&fleet, node);
+        fleet.Run(kStableTime - kChangeBound);
+        fleet.platform.Change("op/config", fleet.now);
+        fleet.Run(kChangeBound);
+        BOOST_TEST(fleet.node(node).revision() == fleet.platform.revision);
+      }
+    }
+  }
+}
+
+// A node has read the platform, follows again, and its connections go dark.
+// When its readers fail later, the node must not lose a time-out to a
+// connection that it has kept since then.
+BOOST_AUTO_TEST_CASE(KeptConnectionsThatWentDarkCostNoTimeout) {
+  for (Duration served = milliseconds(100); served < seconds(4);
+       served += milliseconds(100)) {
+    BOOST_TEST_CONTEXT("readers served for " << ToMilliseconds(served)
+                                             << " ms") {
+      FakeFleet fleet(18);
+      fleet.Run(seconds(3));
+      size_t node = 0;
+      while (fleet.node(node).mode() != ReadMode::kFromPeers) ++node;
+      SilenceOthers(&fleet, node);
+      fleet.Run(seconds(4));
+      BOOST_TEST((fleet.node(node).mode() != ReadMode::kFromPeers));
+      for (size_t i = 0; i < fleet.size(); ++i) fleet.SetReadable(i, true);
+      while (fleet.node(node).mode() != ReadMode::kFromPeers) {
+        fleet.Run(milliseconds(20));
+      }
+      const TimePoint dark = fleet.now;
+      fleet.node(node).SilenceConnections();
+      fleet.Run(served);
+      SilenceOthers(&fleet, node);
+      const TimePoint earliest = dark + kStableTime - kChangeBound;
+      fleet.Run(std::max(earliest - fleet.now, Duration(milliseconds(20))));
+      fleet.platform.Change("op/config", fleet.now);
+      fleet.Run(kChangeBound);
+      BOOST_TEST(fleet.node(node).revision() == fleet.platform.revision);
+    }
+  }
+}
+
+// One random step: what happens, to which node, and the time until the next.
+struct FaultStep {
+  size_t fault = 0;
+  size_t node = 0;
+  Duration pause{};
+};
+
+void SetServingOfReaders(FakeFleet* fleet, Serving serving) {
+  for (const size_t reader : fleet->Readers()) {
+    fleet->SetServing(reader, serving);
+  }
+}
+
+void ServeAll(FakeFleet* fleet, size_t) {
+  for (size_t i = 0; i < fleet->size(); ++i) {
+    fleet->SetServing(i, Serving::kAnswers);
+  }
+}
+
+struct RandomFault {
+  void (*apply)(FakeFleet* fleet, size_t node);
+  // Whether it disturbs the node at that moment, beside what lasts.
+  bool disturbs = false;
+};
+
+const RandomFault kRandomFaults[] = {
+    {[](FakeFleet* fleet, size_t i) { fleet->frozen.insert(i); }},
+    {[](FakeFleet* fleet, size_t i) { fleet->frozen.erase(i); }},
+    {[](FakeFleet* fleet, size_t i) {
+      fleet->SetServing(i, Serving::kSilent);
+    }},
+    {[](FakeFleet* fleet, size_t i) {
+      fleet->SetServing(i, Serving::kRefuses);
+    }},
+    {[](FakeFleet* fleet, size_t i) {
+      fleet->SetServing(i, Serving::kAnswers);
+    }},
+    {[](FakeFleet* fleet, size_t) {
+      SetServingOfReaders(fleet, Serving::kSilent);
+    }},
+    {[](FakeFleet* fleet, size_t) {
+      SetServingOfReaders(fleet, Serving::kRefuses);
+    }},
+    {&ServeAll},
+    {&ServeAll},
+    {[](FakeFleet* fleet, size_t i) { fleet->isolated.insert(i); }},
+    {[](FakeFleet* fleet, size_t i) { fleet->isolated.erase(i); }},
+    {[](FakeFleet* fleet, size_t i) { fleet->node(i).SilenceConnections(); },
+     true},
+    {[](FakeFleet* fleet, size_t i) { fleet->Restart(i); }, true},
+    {[](FakeFleet* fleet, size_t i) {
+      fleet->platform.Change("servers/" + std::to_string(i), fleet->now);
+    }},
+    {[](FakeFleet* fleet, size_t) {
+      fleet->platform.Change("op/config", fleet->now);
+    }},
+};
+
+rc::Gen<FaultStep> AnyStep(size_t nodes) {
+  return rc::gen::map(
+      rc::gen::tuple(rc::gen::inRange<size_t>(0, std::size(kRandomFaults)),
+                     rc::gen::inRange<size_t>(0, nodes),
+                     rc::gen::element(100, 300, 900)),
+      [](const std::tuple<size_t, size_t, int>& drawn) {
+        return FaultStep{std::get<0>(drawn), std::get<1>(drawn),
+                         milliseconds(std::get<2>(drawn))};
+      });
+}
+
+// Random series of freezes, restarts, cuts, failures of the platform for some
+// nodes, and changes. A node must never go back to a lower revision. A node
+// that has been undisturbed for some time must know of each change in time,
+// whatever befalls the others. Once the failures end, all nodes must know of
+// all changes in time.
 BOOST_AUTO_TEST_CASE(AllChangesArriveAfterRandomFailures) {
   const auto check = [] {
     FakeFleet fleet(18);
     fleet.Run(seconds(1));
-    const auto steps = *rc::gen::container<std::vector<std::pair<int, size_t>>>(
-        rc::gen::pair(rc::gen::inRange(0, 8), rc::gen::inRange<size_t>(0, 18)));
+    const auto steps =
+        *rc::gen::container<std::vector<FaultStep>>(AnyStep(fleet.size()));
     std::vector<uint64_t> seen(fleet.size());
     std::vector<TimePoint> last_disturbed(fleet.size());
-    for (const auto& [step, index] : steps) {
-      if (step == 0) fleet.frozen.insert(index);
-      if (step == 1) fleet.frozen.erase(index);
-      if (step == 2) fleet.SetReadable(index, false);
-      if (step == 3) fleet.SetReadable(index, true);
-      if (step == 4) fleet.isolated.insert(index);
-      if (step == 5) fleet.isolated.erase(index);
-      if (step == 6) {
-        fleet.Restart(index);
-        seen[index] = 0;
-      }
-      if (step == 7) {
-        fleet.platform.Change("servers/" + std::to_string(index), fleet.now);
-      }
-      if (step == 6) last_disturbed[index] = fleet.now;
-      fleet.Run(milliseconds(100));
-      for (size_t i = 0; i < fleet.size(); ++i) {
-        RC_ASSERT(fleet.node(i).revision() >= seen[i]);
-        seen[i] = fleet.node(i).revision();
-        if (fleet.IsDisturbed(i)) last_disturbed[i] = fleet.now;
-        if (fleet.now - last_disturbed[i] < kStableTime) continue;
-        RC_ASSERT(seen[i] >=
-                  fleet.platform.RevisionAt(fleet.now - kChangeBound));
+    for (const FaultStep& step : steps) {
+      const RandomFault& fault = kRandomFaults[step.fault];
+      // A restarted node knows nothing.
+      const FakeNode* before = &fleet.node(step.node);
+      fault.apply(&fleet, step.node);
+      if (&fleet.node(step.node) != before) seen[step.node] = 0;
+      if (fault.disturbs) last_disturbed[step.node] = fleet.now;
+      for (const TimePoint end = fleet.now + step.pause; fleet.now < end;) {
+        fleet.Run(milliseconds(100));
+        for (size_t i = 0; i < fleet.size(); ++i) {
+          RC_ASSERT(fleet.node(i).revision() >= seen[i]);
+          seen[i] = fleet.node(i).revision();
+          if (fleet.IsDisturbed(i)) last_disturbed[i] = fleet.now;
+          if (fleet.now - last_disturbed[i] < kStableTime) continue;
+          RC_ASSERT(seen[i] >=
+                    fleet.platform.RevisionAt(fleet.now - kChangeBound));
+        }
       }
     }
     fleet.frozen.clear();
     fleet.isolated.clear();
-    for (size_t i = 0; i < fleet.size(); ++i) fleet.SetReadable(i, true);
+    ServeAll(&fleet, 0);
     fleet.platform.Change("op/config", fleet.now);
     fleet.Run(kChangeBound);
     RC_ASSERT(fleet.AllKnowNewest());
