Spread: Let nodes that are not readers check the service now and then

A change of the configuration was in force nowhere for as long as the service left its readers without an answer, up to 35 s (bound 11 s), although it served all other nodes.

Cause: only the readers of the failure domains ask the service. A reader has a watch pending for 30 s, and its silence looks like the absence of changes.

Change: nodes that are not readers read the service without waiting, at random times, 2.5 times a second for the whole fleet whatever its size, and at most every 2 s each. What one of them finds spreads as before. Ruled out: confirmations in the exchanges between nodes as in the relay: an exchange reaches all nodes only after several rounds, too late for 11 s.

ServiceReadsAreBounded counts checks apart, with a bound of their own (3 a second); its bound for all other reads is unchanged.

--- a/Source/spread/config_spread.cc
+++ b/Source/spread/config_spread.cc
@@ -72,26 +72,45 @@
 }
 
 // Sends a watch request if this node is a reader. Any other node reads the
-// service only if it still has no value after the fallback delay.
+// service at once if it still has no value after the fallback delay, and now
+// and then to check that the readers miss nothing.
 void ConfigSpread::ReadService(TimePoint now, Generator& rng,
                                SpreadActions* actions) {
   if (m_watching || now < m_next_read) return;
   const bool needs_value = !m_in_force && !m_pending_service_text;
-  if (!m_is_reader) {
-    if (!needs_value) return;
-    if (!m_fallback_due) {
-      m_fallback_due = now + m_policy.fallback_read_delay +
-                       DrawDuration(m_policy.fallback_read_delay, rng);
-    }
-    if (now < *m_fallback_due) return;
-  }
+  if (!m_is_reader && !IsReadDue(needs_value, now, rng)) return;
+  m_has_checked = m_has_checked || m_check_due;
+  m_check_due.reset();
   m_watching = true;
   m_last_read = now;
   ++m_counters.service_reads;
-  const Duration wait = needs_value ? Duration::zero() : m_policy.watch_timeout;
+  const bool may_wait = m_is_reader && !needs_value;
+  const Duration wait = may_wait ? m_policy.watch_timeout : Duration::zero();
   actions->emplace_back(WatchService{stamp().version, wait});
 }
 
+bool ConfigSpread::IsReadDue(bool needs_value, TimePoint now, Generator& rng) {
+  if (!needs_value) {
+    if (!m_check_due) m_check_due = now + DrawCheckDelay(rng);
+    return now >= *m_check_due;
+  }
+  if (!m_fallback_due) {
+    m_fallback_due = now + m_policy.fallback_read_delay +
+                     DrawDuration(m_policy.fallback_read_delay, rng);
+  }
+  return now >= *m_fallback_due;
+}
+
+// The delays of all nodes together give one check each check_interval, also
+// just after all nodes have started.
+Duration ConfigSpread::DrawCheckDelay(Generator& rng) const {
+  const Duration average = std::max(
+      m_policy.min_check_period,
+      m_policy.check_interval * static_cast<int64_t>(m_members.size() + 1));
+  const Duration least = m_has_checked ? average / 2 : Duration::zero();
+  return least + DrawDuration(average, rng);
+}
+
 // --- Peers -------------------------------------------------------------------
 
 SpreadActions ConfigSpread::OnPeerStamp(const PeerStamp& peer, TimePoint now,
--- a/Source/spread/config_spread.h
+++ b/Source/spread/config_spread.h
@@ -48,6 +48,13 @@
   // Delay after which a node that is not a reader and has no value reads the
   // service itself. A random time of up to the same length is added.
   Duration fallback_read_delay = std::chrono::seconds(15);
+  // Average time, over the whole fleet, between checks of the service by nodes
+  // that are not readers. The service may stop answering the readers while it
+  // serves others, and a pending watch does not show that. A node checks no
+  // more often than min_check_period. A change must be in force within 11 s; of
+  // this, a check and the spread of its result take up to 4 s.
+  Duration check_interval = std::chrono::milliseconds(400);
+  Duration min_check_period = std::chrono::seconds(2);
   // Maximum random delay of the first read, so that nodes that start together
   // do not read at the same time.
   Duration start_jitter = std::chrono::seconds(1);
@@ -64,6 +71,7 @@
 };
 
 struct SpreadCounters {
+  // Including checks.
   uint64_t service_reads = 0;
   uint64_t service_failures = 0;
   uint64_t fetches = 0;
@@ -140,6 +148,9 @@
 
   // Reading the service.
   void ReadService(TimePoint now, Generator& rng, SpreadActions* actions);
+  // Whether a node that is not a reader must read the service now.
+  bool IsReadDue(bool needs_value, TimePoint now, Generator& rng);
+  Duration DrawCheckDelay(Generator& rng) const;
   Duration NextBackoff(uint32_t failures, Generator& rng) const;
 
   // Peers.
@@ -200,6 +211,9 @@
   TimePoint m_next_read;
   TimePoint m_last_read;
   std::optional<TimePoint> m_fallback_due;
+  // Next check by a node that is not a reader.
+  std::optional<TimePoint> m_check_due;
+  bool m_has_checked = false;
 
   std::optional<Announcement> m_announced;
   std::optional<Fetch> m_fetch;
--- a/Tests/fleet_harness.h
+++ b/Tests/fleet_harness.h
@@ -106,7 +106,12 @@
     // If true, returns its value even if the reader has the same or a higher
     // version, as a stale replica does.
     bool ignores_reader_version = false;
+    // VMs whose requests it does not answer.
+    std::set<std::string> silent_for;
+    // Watches and first reads, and reads by nodes that have a value and do not
+    // wait for the next one.
     uint64_t reads = 0;
+    uint64_t checks = 0;
   };
 
   explicit Fleet(const FleetOptions& options)
@@ -266,6 +271,11 @@
 
  private:
   using Action = std::function<void()>;
+
+  // Time after which a request that is not answered counts as failed, beside
+  // the time for which it may wait.
+  static constexpr Duration kReadTimeout = seconds(5);
+
   struct Event {
     TimePoint time;
     uint64_t order = 0;
@@ -448,13 +458,24 @@
   }
 
   void Watch(size_t index, const WatchService& watch) {
-    ++service.reads;
-    const auto answer = [this, index](ServiceAnswer result) {
-      ScheduleForRun(index, milliseconds(3), [this, index, result] {
+    const bool is_check =
+        watch.wait == Duration::zero() && watch.after_version > 0;
+    ++(is_check ? service.checks : service.reads);
+    const auto answer_after = [this, index](Duration time,
+                                            const ServiceAnswer& result) {
+      ScheduleForRun(index, time, [this, index, result] {
         Node& node = nodes[index];
         Handle(index, node.spread->OnServiceAnswer(result, m_now, m_rng));
       });
     };
+    const auto answer = [this, index, answer_after](ServiceAnswer result) {
+      if (service.silent_for.contains(nodes[index].self.vm)) {
+        result = {ServiceStatus::kUnavailable, ""};
+        answer_after(kReadTimeout, result);
+        return;
+      }
+      answer_after(milliseconds(3), result);
+    };
     if (service.fault != ServiceStatus::kValue) {
       answer({service.fault, ""});
       return;
--- a/Tests/spread_test.cc
+++ b/Tests/spread_test.cc
@@ -93,6 +93,30 @@
   }
 }
 
+// The service stops answering the readers of all domains, without a word, and
+// goes on to serve all other nodes. A pending watch lasts for 30 s, and no
+// other node used to ask, so that a change was in force nowhere for up to 35 s.
+BOOST_AUTO_TEST_CASE(ServedNodesFollowWhileNoReaderIsServed) {
+  for (const uint32_t nodes_per_domain : {4U, 34U}) {
+    FleetOptions options;
+    options.nodes_per_domain = nodes_per_domain;
+    auto fleet = StartSettledFleet(options);
+    for (const Fleet::Node& node : fleet->nodes) {
+      if (node.spread->IsReader()) {
+        fleet->service.silent_for.insert(node.self.vm);
+      }
+    }
+    for (const uint64_t version : {8U, 9U, 10U}) {
+      fleet->Publish(version, "next");
+      BOOST_TEST(fleet
+                     ->RunUntil([&] { return fleet->AllHaveVersion(version); },
+                                kChangeBound)
+                     .has_value(),
+                 fleet->size() << " nodes, version " << version);
+    }
+  }
+}
+
 // Restarts three nodes, one at a time, while the service is stale. Returns how
 // often a node put a lower version in force than it had held before.
 uint64_t RegressionsWithStaleService(const SpreadPolicy& policy) {
@@ -249,13 +273,18 @@
   const uint32_t readers = 2 * 6;
   // Each reader watches for 30 s at a time.
   uint64_t reads = fleet->service.reads;
+  uint64_t checks = fleet->service.checks;
   fleet->Run(seconds(60));
   BOOST_TEST(fleet->service.reads - reads <= 3U * readers);
+  // All other nodes together check three times a second at most.
+  BOOST_TEST(fleet->service.checks - checks <= 180U);
   fleet->service.fault = ServiceStatus::kUnavailable;
   fleet->Run(std::chrono::minutes(2));
   reads = fleet->service.reads;
+  checks = fleet->service.checks;
   fleet->Run(seconds(20));
   BOOST_TEST(fleet->service.reads - reads <= 3U * readers);
+  BOOST_TEST(fleet->service.checks - checks <= 60U);
   for (size_t i = 0; i < fleet->size(); ++i) fleet->Kill(i);
   fleet->Run(seconds(1));
   fleet->service.fault = ServiceStatus::kValue;
