Eventio: Bound the framing of a server's answer

What callers saw in trials from outside: a server answered 24 callers with chunks of one byte without end; 10 of them got 504 in place of 502, and another client of the node got half as many requests done.

Cause: the body is limited to 16 MiB, but what surrounds it was not: in chunks of one byte that is 96 MiB to parse for each call.

Change: an answer whose framing exceeds its body and twice the limit of the head ends the exchange. An answer in chunks of five bytes or more meets no new limit, nor does any whose framing is below 128 KiB. Requests of callers are not concerned.

Before, eventio_test covered one exchange at a time; it gets the form, too, but holds without the limit.

--- a/Source/eventio/http_reader.cc
+++ b/Source/eventio/http_reader.cc
@@ -22,7 +22,8 @@
 
 }  // namespace
 
-HttpReader::HttpReader(Kind kind, Limits limits) : m_limits(limits) {
+HttpReader::HttpReader(Kind kind, Limits limits)
+    : m_kind(kind), m_limits(limits) {
   http_parser_init(&m_parser,
                    kind == Kind::kRequests ? HTTP_REQUEST : HTTP_RESPONSE);
   m_parser.data = this;
@@ -64,8 +65,16 @@
   data->remove_prefix(read);
   // The parser skips empty lines before a message without a limit.
   m_skipped_bytes = m_in_message ? 0 : m_skipped_bytes + read;
-  return m_skipped_bytes > m_limits.max_header_bytes ? Result::kTooLarge
-                                                     : Result::kNeedsMore;
+  m_message_bytes += read;
+  return m_skipped_bytes > m_limits.max_header_bytes || HasTooMuchFraming()
+             ? Result::kTooLarge
+             : Result::kNeedsMore;
+}
+
+bool HttpReader::HasTooMuchFraming() const {
+  return m_kind == Kind::kResponses && m_in_message &&
+         m_message_bytes >
+             2 * (m_limits.max_header_bytes + m_message.body.size());
 }
 
 HttpReader::Result HttpReader::ReadEof() {
@@ -109,6 +118,7 @@
   self->m_message = {};
   self->ReturnBodyBytes();
   self->m_header_bytes = 0;
+  self->m_message_bytes = 0;
   self->m_in_message = true;
   self->m_headers_complete = false;
   self->m_last_was_value = true;
--- a/Source/eventio/http_reader.h
+++ b/Source/eventio/http_reader.h
@@ -28,7 +28,10 @@
 
 // Strict incremental parser for the HTTP/1.1 messages of one connection. A
 // message whose framing is ambiguous between parsers is an error. Parsing
-// stops after each message.
+// stops after each message. A response whose framing takes more bytes than its
+// body and twice the limit of the headers is too large: parsing chunks of
+// single bytes up to the limit of the body takes the node's time from other
+// calls.
 class HttpReader {
  public:
   enum class Kind : uint8_t { kRequests, kResponses };
@@ -77,13 +80,17 @@
   static const http_parser_settings& Callbacks();
 
   bool CountHeaderBytes(size_t size);
+  bool HasTooMuchFraming() const;
   bool TakeBodyBytes(size_t size);
   void ReturnBodyBytes();
 
+  const Kind m_kind;
   Limits m_limits;
   http_parser m_parser;
   ParsedMessage m_message;
   size_t m_header_bytes = 0;
+  // Of the current message, including its framing.
+  size_t m_message_bytes = 0;
   // Empty lines read since the last message.
   size_t m_skipped_bytes = 0;
   // Taken from the budget.
--- a/Tests/eventio_test.cc
+++ b/Tests/eventio_test.cc
@@ -217,6 +217,8 @@
       {"body with a length", ok + "Content-Length: 999999999\r\n\r\n", filler},
       {"chunks", ok + "Transfer-Encoding: chunked\r\n\r\n",
        "3e8\r\n" + filler + "\r\n"},
+      {"chunks of one byte", ok + "Transfer-Encoding: chunked\r\n\r\n",
+       "1\r\nx\r\n"},
       {"chunk extension", ok + "Transfer-Encoding: chunked\r\n\r\n3e8;",
        filler},
       {"trailers", ok + "Transfer-Encoding: chunked\r\n\r\n0\r\n",
