--- a/Source/relay/fleet_state_exchange.cc
+++ b/Source/relay/fleet_state_exchange.cc
@@ -265,12 +265,11 @@
         now - std::max(provider.selected, provider.confirmed_at) >=
             kUnconfirmedTimeout;
     if (!is_silent && !is_unconfirmed) continue;
-    m_log->Write(
-        LogTopic::kFleetState,
-        is_silent ? "reader-silent" : "reader-unconfirmed",
-        {{"node", provider.node.ToString()},
-         {"confirmed_ms_ago", FormatAge(provider.confirmed_at, now)}},
-        now);
+    m_log->Write(LogTopic::kFleetState,
+                 is_silent ? "reader-silent" : "reader-unconfirmed",
+                 {{"node", provider.node.ToString()},
+                  {"confirmed_ms_ago", FormatAge(provider.confirmed_at, now)}},
+                 now);
     m_readers.Avoid(provider.node, now);
   }
   const std::vector<SocketAddress> selected = m_readers.Select(now);
@@ -337,13 +336,12 @@
     if (has_reader) mode = ReadMode::kFromPeers;
   }
   if (mode == std::exchange(m_mode, mode)) return;
-  m_log->Write(
-      LogTopic::kFleetState, "read-mode",
-      {{"reads", mode == ReadMode::kFromPeers ? "no" : "yes"},
-       {"confirmed_ms_ago", FormatAge(confirmed_at, now)},
-       {"subscribers", std::to_string(m_subscribers.size())},
-       {"providers", std::to_string(m_providers.size())}},
-      now);
+  m_log->Write(LogTopic::kFleetState, "read-mode",
+               {{"reads", mode == ReadMode::kFromPeers ? "no" : "yes"},
+                {"confirmed_ms_ago", FormatAge(confirmed_at, now)},
+                {"subscribers", std::to_string(m_subscribers.size())},
+                {"providers", std::to_string(m_providers.size())}},
+               now);
   m_store->SetReadMode(mode, now);
 }
 
