--- a/Tests/platform/platform_test.cc
+++ b/Tests/platform/platform_test.cc
@@ -582,6 +582,37 @@
   BOOST_TEST(!client.IsPlatformUnreachable());
 }
 
+// A version that this node cannot read used to confirm the earlier one, on the
+// word of which requests were denied.
+BOOST_FIXTURE_TEST_CASE(UnreadableVersionConfirmsNothing, StoreFixture) {
+  store.script = {
+      {"/-/kv-range", {{200, kEmptyList}}},
+      {"/-/kv-key", {{200, Item("op/config", ConfigVersion(7), 5)}}},
+      {"/-/kv-watch", {}}};
+  pair.front->SetFleetStateStore(&client);
+  client.Start(false, BootClock::now());
+  const auto status_without_route = [this](const std::string& id) {
+    RawClient caller(&pair.loop, pair.front_settings.caller_listener);
+    caller.Write("GET /ok HTTP/1.1\r\nTest-Authority: other\r\nTest-Id: " + id +
+                 "\r\nTest-Time-Left: 5000\r\n\r\n");
+    BOOST_TEST(RunUntil(&pair.loop, [&] {
+      return caller.received.find("\r\n\r\n") != std::string::npos;
+    }));
+    return caller.received.substr(0, caller.received.find("\r\n"));
+  };
+  BOOST_TEST_REQUIRE(
+      RunUntil(&pair.loop, [&] { return store.calls.size() >= 4; }));
+  BOOST_TEST(status_without_route("r1").find(" 404 ") != std::string::npos);
+  store.script[2].second = {{200, R"({"events":[)" +
+                                      Item("op/config", "not JSON", 12) +
+                                      R"(],"current_rev":12})"}};
+  client.Confirm(BootClock::now());
+  BOOST_TEST_REQUIRE(RunUntil(
+      &pair.loop, [&] { return client.View().directory_revision() == 12U; }));
+  RunFor(&pair.loop, pair.front_settings.config_bound);
+  BOOST_TEST(status_without_route("r2").find(" 503 ") != std::string::npos);
+}
+
 // After a restart the first list may come from a replica that is seconds old.
 // The node must learn of later changes before any reader has reported to it.
 BOOST_AUTO_TEST_CASE(RestartedNodeCatchesUpByItself) {
