--- a/Tests/endless_answer_test.cc
+++ b/Tests/endless_answer_test.cc
@@ -17,7 +17,7 @@
 // bytes without end in answer to all others, until their connection closes.
 class EndlessServer {
  public:
-  EndlessServer(EventLoop* loop, std::string head, std::string endless)
+  EndlessServer(EventLoop* loop, std::string head, const std::string& endless)
       : address{"127.0.0.1", FreeLoopbackPort()},
         m_loop(loop),
         m_head(std::move(head)) {
@@ -124,8 +124,10 @@
       EndlessServer server(&pair.loop, item.head, item.endless);
       pair.back_settings.server = server.address;
       pair.RestartBack();
+      constexpr size_t kCallers = 24;
       std::vector<std::shared_ptr<FakeCall>> endless;
-      for (int i = 0; i < 24; ++i) {
+      endless.reserve(kCallers);
+      for (size_t i = 0; i < kCallers; ++i) {
         endless.push_back(pair.Send("/once/endless", "e" + std::to_string(i)));
       }
       // One after the other, as a client with one connection sends them.
--- a/Tests/platform/adapter_soak.cc
+++ b/Tests/platform/adapter_soak.cc
@@ -506,14 +506,14 @@
         {&Soak::Kill, &Soak::Terminate, &Soak::Pause, &Soak::Reset,
          &Soak::Silence, &Soak::StoreDown, &Soak::Change, &Soak::Drain,
          &Soak::Terminate, &Soak::Change, &Soak::Hangup, &Soak::StoreTurnsAway,
-         &Soak::StoreConnectionsGoDark},
+         &Soak::StoreConnectionsGoDark, &Soak::StoreForgets},
         50,
         1500};
     // Faults of some nodes, so that the time bounds hold for the others.
     static const Profile kPartial = {
         {&Soak::Change, &Soak::Change, &Soak::Change, &Soak::Change,
          &Soak::StoreTurnsAway, &Soak::StoreTurnsAway, &Soak::PauseSome,
-         &Soak::KillSome, &Soak::StoreConnectionsGoDark},
+         &Soak::KillSome, &Soak::StoreConnectionsGoDark, &Soak::StoreForgets},
         100,
         1600};
     return seed % 2 == 0 ? kMixed : kPartial;
@@ -636,6 +636,12 @@
     nodes.resize(RandomInt(1, most));
     return nodes;
   }
+  // A change is made while watches bring nothing, as the platform does it.
+  void StoreForgets(size_t index, TimePoint now) {
+    LogEvent("store forgets its history");
+    Change(index, now);
+    m_store.ForgetHistory();
+  }
   void StoreConnectionsGoDark(size_t index, TimePoint now) {
     LogEvent(absl::StrFormat("store connections of %d go dark",
                              static_cast<int>(index)));
--- a/Tests/platform/soak_store.cc
+++ b/Tests/platform/soak_store.cc
@@ -136,6 +136,10 @@
   const size_t at = request.target.find("after=");
   const size_t after =
       std::strtoul(request.target.c_str() + at + 6, nullptr, 10);
+  if (after < m_oldest_revision) {
+    session->Respond({410, {}, ""}, now);
+    return;
+  }
   if (after < m_history.size() || request.target.ends_with("wait_ms=1")) {
     AnswerWatch(session, after, now);
     return;
@@ -151,6 +155,15 @@
   });
 }
 
+void SoakStore::ForgetHistory() {
+  m_oldest_revision = m_history.size();
+  for (const auto& entry : m_entries) {
+    for (const auto& [session, after] : std::exchange(entry->watches, {})) {
+      session->Abort();
+    }
+  }
+}
+
 void SoakStore::SetService(size_t node, Service service) {
   Entry& entry = *m_entries[node];
   entry.service = service;
--- a/Tests/platform/soak_store.h
+++ b/Tests/platform/soak_store.h
@@ -34,6 +34,8 @@
   SocketAddress EntryOf(size_t node) const;
   void Put(const std::string& key, const std::string& value, TimePoint now);
 
+  // Discards the history up to now; pending watches are cut.
+  void ForgetHistory();
   void SetService(size_t node, Service service);
   // Open connections of the node go dark; new ones work.
   void SilenceConnections(size_t node);
@@ -72,6 +74,8 @@
   const uint16_t m_port;
   std::map<std::string, std::string> m_items;
   std::vector<std::string> m_history;
+  // Watches from an earlier revision get 410.
+  size_t m_oldest_revision = 0;
   std::vector<std::unique_ptr<Entry>> m_entries;
 };
 
