--- a/Tests/platform/adapter_soak.cc
+++ b/Tests/platform/adapter_soak.cc
@@ -183,7 +183,7 @@
   void AddNode(size_t index) {
     Node& node = m_nodes[index];
     node.index = index;
-    node.ip = absl::StrFormat("127.0.1.%d", static_cast<int>(index + 1));
+    node.ip = SoakIp(1, index);
     node.service = kServices[index % 2];
     node.server_id = absl::StrFormat("i-%d", static_cast<int>(index));
     node.caller_port = FreeLoopbackPort();
@@ -206,9 +206,7 @@
     PublishServer(index, BootClock::now());
   }
 
-  static std::string NetworkIp(size_t index) {
-    return absl::StrFormat("127.0.2.%d", static_cast<int>(index + 1));
-  }
+  static std::string NetworkIp(size_t index) { return SoakIp(2, index); }
 
   void StartNode(size_t index) {
     Node& node = m_nodes[index];
--- a/Tests/platform/soak_store.cc
+++ b/Tests/platform/soak_store.cc
@@ -1,5 +1,7 @@
 #include "soak_store.h"
 
+#include <unistd.h>
+
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <cstdlib>
@@ -13,15 +15,17 @@
 
 constexpr Duration kSlowAnswer = std::chrono::milliseconds(200);
 
-std::string NodeIp(int network, size_t node) {
-  return absl::StrFormat("127.0.%d.%d", network, static_cast<int>(node + 1));
-}
-
 }  // namespace
 
+std::string SoakIp(int network, size_t node) {
+  constexpr int kBlocks = 250;
+  return absl::StrFormat("127.%d.%d.%d", 1 + getpid() % kBlocks, network,
+                         static_cast<int>(node + 1));
+}
+
 SoakStore::Entry::Entry(SoakStore* store, size_t node) : m_store(store) {
   // Behind the address that nodes use.
-  const SocketAddress behind{NodeIp(4, node), store->m_port};
+  const SocketAddress behind{SoakIp(4, node), store->m_port};
   std::string reason;
   m_listener = TcpListener::Listen(
       store->m_loop, behind,
@@ -75,7 +79,7 @@
 }
 
 SocketAddress SoakStore::EntryOf(size_t node) const {
-  return {NodeIp(3, node), m_port};
+  return {SoakIp(3, node), m_port};
 }
 
 void SoakStore::Put(const std::string& key, const std::string& value,
--- a/Tests/platform/soak_store.h
+++ b/Tests/platform/soak_store.h
@@ -11,6 +11,10 @@
 
 namespace vanillatiller {
 
+// Address in one of the networks of this process, so that soaks that run side
+// by side do not take each other's ports.
+std::string SoakIp(int network, size_t node);
+
 // Stand-in of the platform's store with an entry of its own for each node, so
 // that it can treat them differently.
 class SoakStore {
