--- a/Source/spread/config_spread.h
+++ b/Source/spread/config_spread.h
@@ -50,9 +50,8 @@
   Duration fallback_read_delay = std::chrono::seconds(15);
   // Average time, over the whole fleet, between checks of the service by nodes
   // that are not readers. The service may stop answering the readers while it
-  // serves others, and a pending watch does not show that. A node checks no
-  // more often than min_check_period. A change must be in force within 11 s; of
-  // this, a check and the spread of its result take up to 4 s.
+  // serves others, and a pending watch does not show that. On average a node
+  // checks no more often than once in min_check_period.
   Duration check_interval = std::chrono::milliseconds(400);
   Duration min_check_period = std::chrono::seconds(2);
   // Maximum random delay of the first read, so that nodes that start together
