Relay: Log what backend servers say of themselves

The adapter now decodes the two fields of a server's answer. A limit that is no decimal number of at least 0 is logged as ignored. No decision depends on the fields yet.

--- a/Source/relay/call_executor.cc
+++ b/Source/relay/call_executor.cc
@@ -4,6 +4,7 @@
 #include <utility>
 #include <variant>
 
+#include "absl/strings/str_format.h"
 #include "relay/call_order.h"
 #include "relay/server_answer.h"
 
@@ -103,6 +104,7 @@
   if (found == m_calls.end()) return;
   LocalCall& local = found->second;
   local.dispatched = now;
+  m_dispatched_calls.Add(now);
   m_active_by_request_id[local.request_id] = handle;
   local.session = AcquireSession(local.request_id, now);
   local.timer = m_loop->Schedule(local.deadline + kDeadlineGrace,
@@ -128,7 +130,33 @@
   const auto found = m_calls.find(handle);
   if (found == m_calls.end()) return;
   ReturnSession(std::exchange(found->second.session, nullptr), now);
-  Finish(handle, ClassifyExchange(std::move(exchange), *m_names), now);
+  CallResult result = ClassifyExchange(std::move(exchange), *m_names);
+  if (result.notice) LogNotice(found->second, *result.notice, now);
+  Finish(handle, std::move(result), now);
+}
+
+void CallExecutor::LogNotice(const LocalCall& local, const ServerNotice& notice,
+                             TimePoint now) {
+  if (notice.rate_limit == m_last_notice.rate_limit &&
+      notice.is_leaving == m_last_notice.is_leaving &&
+      notice.unreadable == m_last_notice.unreadable) {
+    return;
+  }
+  m_last_notice = notice;
+  const AdmissionState state = m_admission->State();
+  m_log->Write(
+      LogTopic::kFleetState, "server-notice",
+      {{"server", local.call.server_id()},
+       {"request", local.request_id},
+       {"sent_ms_ago", FormatAge(local.dispatched, now)},
+       {"rate_limit",
+        notice.rate_limit ? absl::StrFormat("%g", *notice.rate_limit) : "none"},
+       {"leaving", notice.is_leaving ? "yes" : "no"},
+       {"ignored", notice.unreadable},
+       {"calls_4s", std::to_string(m_dispatched_calls.Count(now))},
+       {"in_flight", std::to_string(state.in_flight)},
+       {"queued", std::to_string(state.queued)}},
+      now);
 }
 
 void CallExecutor::Finish(Handle handle, CallResult result, TimePoint now) {
--- a/Source/relay/call_executor.h
+++ b/Source/relay/call_executor.h
@@ -16,6 +16,7 @@
 #include "relay/event_log.h"
 #include "relay/protocol_names.h"
 #include "relay/relay_metrics.h"
+#include "relay/window_counter.h"
 
 namespace vanillatiller {
 
@@ -66,6 +67,8 @@
   void OnNestedOverloaded(std::string_view request_id);
 
   PeerLoad Load() const;
+  // Calls sent to the server in the last four seconds.
+  uint32_t RecentCalls(TimePoint now) { return m_dispatched_calls.Count(now); }
   // Size of the response bodies that are being read from the server.
   size_t UnfinishedAnswerBytes() const { return m_answer_bytes.used(); }
   bool IsIdle() const { return m_calls.empty(); }
@@ -94,6 +97,9 @@
   void Finish(Handle handle, CallResult result, TimePoint now);
   void ReleaseSlot(Handle handle, const CallResult& result, TimePoint now);
   static CallResult MakeRefusal(RefusalCode code);
+  // Logs what the server says of itself if that has changed.
+  void LogNotice(const LocalCall& local, const ServerNotice& notice,
+                 TimePoint now);
   HttpRequest MakeRequest(const LocalCall& local, TimePoint now) const;
   // Returns a session that has not carried a request with this ID.
   std::shared_ptr<HttpClientSession> AcquireSession(std::string_view request_id,
@@ -122,6 +128,8 @@
   std::unique_ptr<Admission> m_admission;
   uint32_t m_slots = 1;
   bool m_draining = false;
+  ServerNotice m_last_notice;
+  WindowCounter m_dispatched_calls;
   Handle m_last_handle = 0;
   // Must outlive the sessions, which return their bytes.
   ByteBudget m_answer_bytes{kMaxUnfinishedAnswerBytes};
--- a/Source/relay/call_result.h
+++ b/Source/relay/call_result.h
@@ -2,10 +2,12 @@
 #define VANILLATILLER_SOURCE_RELAY_CALL_RESULT_H_
 
 #include <cstdint>
+#include <optional>
 
 #include "base/base.h"
 #include "eventio/eventio.h"
 #include "relay/relay.pb.h"
+#include "relay/server_notice.h"
 #include "routing/routing.h"
 
 namespace vanillatiller {
@@ -30,6 +32,9 @@
   // A nested call of this call was refused by an overloaded service, so a retry
   // on another server would fail in the same way.
   bool overload_below = false;
+  // Set on the server's own node for every answer that is known to be the
+  // server's, whatever its outcome.
+  std::optional<ServerNotice> notice;
 };
 
 relay::Answer EncodeAnswer(uint64_t id, const CallResult& result);
--- a/Source/relay/protocol_names.h
+++ b/Source/relay/protocol_names.h
@@ -25,6 +25,11 @@
   std::string retry_after;
   // Service on whose VM the request originated.
   std::string calling_service;
+  // In a server's response: calls a second that it takes from all nodes
+  // together.
+  std::string server_rate_limit;
+  // In a server's response: present with the value 1 if the server is leaving.
+  std::string server_leaving;
 };
 
 }  // namespace vanillatiller
--- a/Source/relay/server_answer.cc
+++ b/Source/relay/server_answer.cc
@@ -16,10 +16,12 @@
          status == 503;
 }
 
-CallResult MakeFailure(Outcome outcome, RefusalCode code) {
+CallResult MakeFailure(Outcome outcome, RefusalCode code,
+                       std::optional<ServerNotice> notice = std::nullopt) {
   CallResult result;
   result.outcome = outcome;
   result.code = code;
+  result.notice = std::move(notice);
   return result;
 }
 
@@ -40,12 +42,15 @@
   if (response.status == kMisdirected) {
     return MakeFailure(Outcome::kNotRun, RefusalCode::kUnknownIncarnation);
   }
+  ServerNotice notice = ReadServerNotice(response.headers, names);
   if (response.headers.Find(names.not_run)) {
-    return MakeFailure(Outcome::kNotRun, RefusalCode::kBackendRefused);
+    return MakeFailure(Outcome::kNotRun, RefusalCode::kBackendRefused,
+                       std::move(notice));
   }
   // Without the not-run field the request may have run, whatever the status.
   if (ClaimsNotRun(response.status)) {
-    return MakeFailure(Outcome::kUnknown, RefusalCode::kBackendRefused);
+    return MakeFailure(Outcome::kUnknown, RefusalCode::kBackendRefused,
+                       std::move(notice));
   }
   if (IsSuccess(response.status) &&
       (!response.headers.Find(names.answer_digest) ||
@@ -54,6 +59,7 @@
   }
   CallResult result;
   result.outcome = Outcome::kComplete;
+  result.notice = std::move(notice);
   result.response = std::move(response);
   result.response.headers.RemoveConnectionFields();
   // The caller's node knows the request ID, and traffic between nodes is
--- /dev/null
+++ b/Source/relay/server_notice.h
@@ -0,0 +1,30 @@
+#ifndef VANILLATILLER_SOURCE_RELAY_SERVER_NOTICE_H_
+#define VANILLATILLER_SOURCE_RELAY_SERVER_NOTICE_H_
+
+#include <optional>
+#include <string>
+
+#include "eventio/eventio.h"
+#include "relay/protocol_names.h"
+
+namespace vanillatiller {
+
+// What a backend server says of itself in one answer.
+struct ServerNotice {
+  // Calls a second that it takes from all nodes together; nullopt if the answer
+  // names no limit.
+  std::optional<double> rate_limit;
+  bool is_leaving = false;
+  // A value that cannot be read, shortened for the log. The answer then says
+  // nothing about the limit.
+  std::string unreadable;
+};
+
+// Reads the fields of an answer. A rate limit is a finite decimal number of at
+// least 0.
+ServerNotice ReadServerNotice(const HttpHeaders& headers,
+                              const ProtocolNames& names);
+
+}  // namespace vanillatiller
+
+#endif  // VANILLATILLER_SOURCE_RELAY_SERVER_NOTICE_H_
