--- a/Tests/relay_harness.cc
+++ b/Tests/relay_harness.cc
@@ -111,13 +111,19 @@
   names.not_run = "Test-Not-Run";
   names.retry_after = "Retry-After";
   names.calling_service = "Test-From";
+  names.server_rate_limit = "Test-Rate-Limit";
+  names.server_leaving = "Test-Leaving";
   return names;
 }
 
-FakeServer::FakeServer(EventLoop* loop, uint16_t port) : m_loop(loop) {
+FakeServer::FakeServer(EventLoop* loop, uint16_t port)
+    : FakeServer(loop, SocketAddress{kLoopback, port}) {}
+
+FakeServer::FakeServer(EventLoop* loop, const SocketAddress& address)
+    : m_loop(loop) {
   std::string reason;
   m_listener = TcpListener::Listen(
-      loop, {kLoopback, port},
+      loop, address,
       [this](std::shared_ptr<TcpConnection> connection, TimePoint now) {
         HttpServerSession::Start(m_loop, std::move(connection), this, {}, now);
       },
@@ -129,7 +135,7 @@
                            TimePoint now) {
   const std::string id(request.headers.Find("test-id").value_or(""));
   const std::string target = request.target;
-  arrivals.push_back({std::move(request), id});
+  arrivals.push_back({std::move(request), id, now});
   if (target.ends_with("/hold")) {
     m_held[session] = id;
     return;
@@ -142,7 +148,15 @@
   response.status = target.ends_with("/shed") ? 503 : 500;
   response.headers.Add("Test-Id", id);
   if (response.status == 503) response.headers.Add("Test-Not-Run", "1");
-  session->Respond(response, now);
+  Answer(session, std::move(response), now);
+}
+
+void FakeServer::Answer(const HttpResponderPtr& session, HttpResponse response,
+                        TimePoint now) {
+  for (const HttpHeader& field : notice) {
+    response.headers.Add(field.name, field.value);
+  }
+  session->Respond(std::move(response), now);
 }
 
 void FakeServer::FailHeldRequests(TimePoint now) {
@@ -150,7 +164,7 @@
     HttpResponse response;
     response.status = 500;
     response.headers.Add("Test-Id", id);
-    session->Respond(response, now);
+    Answer(session, std::move(response), now);
   }
 }
 
@@ -161,7 +175,7 @@
   response.headers.Add("Test-Id", id);
   response.headers.Add("Test-Digest", "digest-" + id);
   response.body = "body-" + id;
-  session->Respond(response, now);
+  Answer(session, std::move(response), now);
 }
 
 void FakeServer::OnCallerDisconnected(const HttpResponderPtr& session,
@@ -423,21 +437,23 @@
 std::shared_ptr<FakeCall> RelayPair::Send(const std::string& path,
                                           const std::string& id,
                                           Duration time_left) {
-  return SendTo(front_settings.caller_listener, path, id, time_left);
+  return SendTestRequest(&loop, front_settings.caller_listener, path, id,
+                         time_left);
 }
 
 std::shared_ptr<FakeCall> RelayPair::SendFromServer(const std::string& path,
                                                     const std::string& id) {
-  return SendTo(back_settings.caller_listener, path, id,
-                std::chrono::seconds(5));
+  return SendTestRequest(&loop, back_settings.caller_listener, path, id,
+                         std::chrono::seconds(5));
 }
 
-std::shared_ptr<FakeCall> RelayPair::SendTo(const SocketAddress& listener,
-                                            const std::string& path,
-                                            const std::string& id,
-                                            Duration time_left) {
+std::shared_ptr<FakeCall> SendTestRequest(EventLoop* loop,
+                                          const SocketAddress& listener,
+                                          const std::string& path,
+                                          const std::string& id,
+                                          Duration time_left) {
   auto call = std::make_shared<FakeCall>();
-  call->session = std::make_shared<HttpClientSession>(&loop, listener, "");
+  call->session = std::make_shared<HttpClientSession>(loop, listener, "");
   HttpRequest request;
   request.method = "GET";
   request.target = path;
--- a/Tests/relay_harness.h
+++ b/Tests/relay_harness.h
@@ -48,9 +48,12 @@
   struct Arrival {
     HttpRequest request;
     std::string id;
+    TimePoint at;
   };
 
+  // Listens at 127.0.0.1.
   FakeServer(EventLoop* loop, uint16_t port);
+  FakeServer(EventLoop* loop, const SocketAddress& address);
 
   void OnRequest(const HttpResponderPtr& session, HttpRequest request,
                  TimePoint now) override;
@@ -64,11 +67,15 @@
   // disconnected.
   std::vector<Arrival> arrivals;
   std::vector<std::string> disconnected;
+  // Further fields of each answer.
+  std::vector<HttpHeader> notice;
   size_t held() const { return m_held.size(); }
 
  private:
   void AnswerOk(const HttpResponderPtr& session, const std::string& id,
                 TimePoint now);
+  void Answer(const HttpResponderPtr& session, HttpResponse response,
+              TimePoint now);
 
   EventLoop* m_loop;
   std::unique_ptr<TcpListener> m_listener;
@@ -170,6 +177,13 @@
   ExchangeResult result;
 };
 
+// Sends a GET request for `path` to `listener`.
+std::shared_ptr<FakeCall> SendTestRequest(EventLoop* loop,
+                                          const SocketAddress& listener,
+                                          const std::string& path,
+                                          const std::string& id,
+                                          Duration time_left);
+
 // Two nodes: `front` receives requests from callers, and `back` runs next to
 // the backend server and is reached through a fault-injecting proxy.
 class RelayPair {
@@ -209,9 +223,6 @@
   std::unique_ptr<Relay> back;
 
  private:
-  std::shared_ptr<FakeCall> SendTo(const SocketAddress& listener,
-                                   const std::string& path,
-                                   const std::string& id, Duration time_left);
   std::unique_ptr<Relay> MakeRelay(const RelaySettings& settings);
 };
 
