Relay: Send nothing more to a server that says that it is leaving

Cause: only the list could say that a server leaves, so a node that was out of touch with the store, or had an older list, went on. Ruled out: the list itself; records that say draining are followed at once.

Rule: what a server says of itself holds against any list, for that run of it (ID and start time). The node beside the server refuses calls for it as not run, also queued ones, and tells all nodes connected to it; the directory of each node keeps the mark, and no record of that run or an earlier one is usable. A later run is. The last server of a service is treated as one that the list has as draining: 503 with Retry-After.

--- a/Source/relay/call_executor.cc
+++ b/Source/relay/call_executor.cc
@@ -58,7 +58,7 @@
   local.deadline = now + TimeLeft(call);
   const HttpHeaders headers = DecodeHeaders(call.headers());
   local.request_id = headers.Find(m_names->request_id).value_or("");
-  if (m_draining) {
+  if (m_draining || IsForLeavingServer(call)) {
     Finish(handle, MakeRefusal(RefusalCode::kLeaving), now);
     return handle;
   }
@@ -112,6 +112,7 @@
   if (found == m_calls.end()) return;
   LocalCall& local = found->second;
   local.dispatched = now;
+  local.server = TargetOf(local.call);
   m_dispatched_calls.Add(now);
   m_active_by_request_id[local.request_id] = handle;
   local.session = AcquireSession(local.request_id, now);
@@ -145,6 +146,14 @@
 
 void CallExecutor::OnNotice(const LocalCall& local, const ServerNotice& notice,
                             TimePoint now) {
+  // Without the list, calls name the server on this VM.
+  if (m_incarnation.id.empty()) m_incarnation = local.server;
+  OnRateNotice(local, notice, now);
+  if (notice.is_leaving) OnLeavingNotice(local, now);
+}
+
+void CallExecutor::OnRateNotice(const LocalCall& local,
+                                const ServerNotice& notice, TimePoint now) {
   if (notice.is_unreadable) {
     if (notice.unreadable == m_unreadable_notice) return;
     m_unreadable_notice = notice.unreadable;
@@ -162,6 +171,40 @@
   }
 }
 
+ServerIncarnation CallExecutor::TargetOf(const relay::Call& call) const {
+  ServerIncarnation server{call.server_id(), call.server_started_ms()};
+  // Either node may be the first to know of a restart.
+  if (server.id == m_incarnation.id) {
+    server.started_ms = std::max(server.started_ms, m_incarnation.started_ms);
+  }
+  return server;
+}
+
+bool CallExecutor::IsForLeavingServer(const relay::Call& call) const {
+  return m_leaving && call.server_id() == m_leaving->id &&
+         TargetOf(call).started_ms <= m_leaving->started_ms;
+}
+
+void CallExecutor::OnLeavingNotice(const LocalCall& local, TimePoint now) {
+  if (m_leaving == local.server) return;
+  m_leaving = local.server;
+  m_leaving_request = local.request_id;
+  const AdmissionState state = m_admission->State();
+  m_log->Write(LogTopic::kFleetState, "server-leaving",
+               {{"server", local.server.id},
+                {"started_ms", std::to_string(local.server.started_ms)},
+                {"source", "answer"},
+                {"request", local.request_id},
+                {"in_flight", std::to_string(state.in_flight)},
+                {"queued", std::to_string(state.queued)}},
+               now);
+  // Queued calls have not run, so that they can go to another server.
+  AdmissionActions actions;
+  m_admission->RefuseQueued(RefusalCode::kLeaving, now, &actions);
+  ApplyActions(&actions, now);
+  if (m_notice_listener) m_notice_listener(now);
+}
+
 void CallExecutor::OnReportedRate(const relay::Call& call, TimePoint now) {
   if (!call.has_server_rate_limit()) return;
   // The caller's node may not know of a restart of the server.
@@ -204,14 +247,21 @@
 }
 
 std::optional<relay::ServerNotice> CallExecutor::Notice() const {
-  if (!m_rate.has_known_limit()) return std::nullopt;
+  const bool is_leaving = m_leaving && m_leaving->id == m_incarnation.id &&
+                          m_leaving->started_ms >= m_incarnation.started_ms;
+  if (!is_leaving && !m_rate.has_known_limit()) return std::nullopt;
+  const ServerIncarnation& server = is_leaving ? *m_leaving : m_incarnation;
   relay::ServerNotice notice;
-  notice.set_server_id(m_incarnation.id);
-  notice.set_started_ms(m_incarnation.started_ms);
+  notice.set_server_id(server.id);
+  notice.set_started_ms(server.started_ms);
   if (m_rate.rate()) {
     notice.set_rate_limit(*m_rate.rate());
     notice.set_request_id(m_rate.request_id());
   }
+  if (is_leaving) {
+    notice.set_leaving(true);
+    notice.set_leaving_request(m_leaving_request);
+  }
   return notice;
 }
 
@@ -325,7 +375,8 @@
                                    uint32_t slots, bool is_cold,
                                    TimePoint now) {
   Resize(slots);
-  const bool is_other_server = !m_incarnation.id.empty();
+  const bool is_other_server =
+      !m_incarnation.id.empty() && m_incarnation != server;
   m_incarnation = server;
   if (is_other_server) {
     const std::optional<double> before = m_rate.rate();
--- a/Source/relay/call_executor.h
+++ b/Source/relay/call_executor.h
@@ -54,12 +54,12 @@
   // that is running, which continues.
   bool Cancel(Handle handle, TimePoint now);
 
-  // Called when the limit that the server names has changed.
+  // Called when what the server says of itself has changed.
   void SetNoticeListener(std::function<void(TimePoint now)> listener) {
     m_notice_listener = std::move(listener);
   }
   // What the server says of itself; nullopt if this process has never known of
-  // a limit.
+  // a limit, and the server is not leaving.
   std::optional<relay::ServerNotice> Notice() const;
 
   // Refuses queued and new calls; running calls continue.
@@ -93,6 +93,8 @@
     TimePoint received;
     TimePoint deadline;
     TimePoint dispatched;
+    // The server as known when the call was dispatched.
+    ServerIncarnation server;
     std::shared_ptr<HttpClientSession> session;
     TimerId timer = 0;
     bool is_cancelled = false;
@@ -111,6 +113,14 @@
   // Applies what the server says of itself in its answer to a call.
   void OnNotice(const LocalCall& local, const ServerNotice& notice,
                 TimePoint now);
+  void OnRateNotice(const LocalCall& local, const ServerNotice& notice,
+                    TimePoint now);
+  // The server will leave: queued and new calls for it are refused.
+  void OnLeavingNotice(const LocalCall& local, TimePoint now);
+  // Whether the server that the call is meant for is leaving.
+  bool IsForLeavingServer(const relay::Call& call) const;
+  // The server that a call which is sent now reaches.
+  ServerIncarnation TargetOf(const relay::Call& call) const;
   // Applies the limit that the caller's node knows of.
   void OnReportedRate(const relay::Call& call, TimePoint now);
   // The limit of the server has changed to that of m_rate.
@@ -148,6 +158,10 @@
   // The server on this VM; empty until it is known.
   ServerIncarnation m_incarnation;
   ServerRateTracker m_rate;
+  // The server that last said that it is leaving, and the request whose answer
+  // said so first.
+  std::optional<ServerIncarnation> m_leaving;
+  std::string m_leaving_request;
   // The last value that could not be read, which is logged once.
   std::string m_unreadable_notice;
   std::function<void(TimePoint now)> m_notice_listener;
--- a/Source/relay/relay.cc
+++ b/Source/relay/relay.cc
@@ -222,7 +222,7 @@
 }
 
 void Relay::OnServerNotice(const SocketAddress& node,
-                           const relay::ServerNotice& notice, TimePoint) {
+                           const relay::ServerNotice& notice, TimePoint now) {
   for (const Candidate* candidate : m_placement.FindByNode(node)) {
     if (candidate->id != notice.server_id() ||
         candidate->started_ms != notice.started_ms()) {
@@ -233,6 +233,17 @@
       *candidate->rate = {notice.rate_limit(), notice.request_id()};
     }
   }
+  if (!notice.leaving()) return;
+  const ServerIncarnation server{notice.server_id(), notice.started_ms()};
+  if (!m_directory.MarkLeaving(server, now)) return;
+  m_log->Write(LogTopic::kFleetState, "server-leaving",
+               {{"server", server.id},
+                {"started_ms", std::to_string(server.started_ms)},
+                {"source", "node"},
+                {"node", node.ToString()},
+                {"request", notice.leaving_request()}},
+               now);
+  OnServersChanged(now);
 }
 
 relay::Load Relay::Load() const {
--- a/Source/relay/server_directory.cc
+++ b/Source/relay/server_directory.cc
@@ -76,6 +76,14 @@
   return changes;
 }
 
+bool ServerDirectory::MarkLeaving(const ServerIncarnation& server,
+                                  TimePoint now) {
+  if (!m_leaving.Add(server, now)) return false;
+  const auto found = m_entries.find(server.id);
+  return found != m_entries.end() && IsPresent(found->second, now) &&
+         m_leaving.Contains(server.id, found->second.record.started_ms);
+}
+
 void ServerDirectory::OnSourceRestored(TimePoint now) {
   m_renewal_deadline = now + kRenewalGrace;
 }
@@ -116,7 +124,9 @@
   }
   std::vector<const ServerRecord*> usable;
   for (const auto& [address, record] : by_address) {
-    if (!record->draining) usable.push_back(record);
+    const bool is_leaving =
+        record->draining || m_leaving.Contains(record->id, record->started_ms);
+    if (!is_leaving) usable.push_back(record);
   }
   return usable;
 }
--- a/Source/relay/server_directory.h
+++ b/Source/relay/server_directory.h
@@ -10,17 +10,10 @@
 
 #include "base/base.h"
 #include "eventio/tcp_connection.h"
+#include "relay/leaving_servers.h"
 
 namespace vanillatiller {
 
-// One run of a backend server, from its start to its end.
-struct ServerIncarnation {
-  // May be used again by a later run.
-  std::string id;
-  // Start time by the server's clock, in milliseconds; 0 if unknown.
-  uint64_t started_ms = 0;
-};
-
 // A backend server as listed by the platform.
 struct ServerRecord {
   std::string id;
@@ -54,6 +47,9 @@
   // Applies the complete list at `revision`. Returns the number of changes.
   size_t ApplyList(const std::vector<ServerRecord>& list, uint64_t revision,
                    TimePoint now);
+  // The server itself says that it is leaving. Returns whether a record that
+  // may receive work is affected.
+  bool MarkLeaving(const ServerIncarnation& server, TimePoint now);
   // The platform's list is readable again after an outage.
   void OnSourceRestored(TimePoint now);
 
@@ -90,6 +86,7 @@
   void DropExpired(TimePoint now);
 
   std::map<std::string, Entry, std::less<>> m_entries;
+  LeavingServers m_leaving;
   uint64_t m_revision = 0;
   // Highest revision of a removal without a tombstone. Records of unknown
   // servers, and lists, that are not newer may be from before that removal.
