Tests: Servers of the soak name limits and leave

Servers name limits between 0 and 20 a second, values that are none, alone or a whole service at once, for 2 to 16 s; they say that they leave while the list has them as ready, and start again under their ID. NoticeAudit judges by the users' rules on LIMIT and DRAIN, with the node at which a request began; nodes that restarted, were frozen or cut off are excused.

--- a/Tests/platform/adapter_soak.cc
+++ b/Tests/platform/adapter_soak.cc
@@ -24,6 +24,7 @@
 
 #include "absl/strings/str_format.h"
 #include "config_history.h"
+#include "notice_audit.h"
 #include "relay_harness.h"
 #include "soak_store.h"
 
@@ -62,6 +63,7 @@
         m_length(length),
         m_program(std::move(program)),
         m_store(&m_loop, nodes),
+        m_notices(nodes),
         m_nodes(nodes) {
     char directory[] = "/tmp/adapter-soak-XXXXXX";
     m_directory = mkdtemp(directory);
@@ -92,6 +94,7 @@
                     [this](TimePoint) { InjectNextFault(); });
     m_loop.Schedule(m_start + seconds(2),
                     [this](TimePoint) { SendNextCall(); });
+    m_loop.Schedule(m_faults_end, [this](TimePoint now) { EndNotices(now); });
     m_loop.Schedule(m_faults_end + kSettleTime,
                     [this](TimePoint now) { CheckSettled(now); });
     RestartExitedNodes();
@@ -100,9 +103,9 @@
     CheckRefusals();
     std::printf(
         "%zu calls, %zu answered, %zu refused, %zu unanswered, %zu judged by "
-        "the configuration; %zu violations\n",
+        "the configuration, %zu by notices of servers; %zu violations\n",
         m_calls, m_answered, m_refused.size(), m_unanswered, m_judged,
-        m_violations);
+        m_notices.judged(), m_violations);
     return m_violations;
   }
 
@@ -118,6 +121,8 @@
     pid_t pid = -1;
     bool is_draining = false;
     TimePoint drain_acknowledged;
+    // Number of the server's run.
+    int server_run = 0;
     // Time from which the time bounds hold for the node.
     TimePoint settled_at;
     TimePoint store_fault_end;
@@ -211,6 +216,7 @@
   void StartNode(size_t index) {
     Node& node = m_nodes[index];
     Disturb(index, BootClock::now());
+    m_notices.Excuse(index);
     node.seen_version = 0;
     const std::string path =
         absl::StrFormat("%s/%d.toml", m_directory, static_cast<int>(index));
@@ -309,11 +315,12 @@
     const Node& node = m_nodes[index];
     m_store.Put("servers/" + node.server_id,
                 absl::StrFormat(
-                    R"({"address":"%s:%d","born":1700000000000,"info":{)"
+                    R"({"address":"%s:%d","born":%d,"info":{)"
                     R"("service":"%s","version":"v","zone":"z%d","slots":8},)"
                     R"("status":{"state":"%s","sequence":1,)"
                     R"("warmup_remaining_ms":0}})",
-                    NetworkIp(index), node.server_port, node.service,
+                    NetworkIp(index), node.server_port,
+                    int64_t{1700000000000} + node.server_run, node.service,
                     static_cast<int>(index % 3),
                     node.is_draining ? "draining" : "ready"),
                 now);
@@ -325,8 +332,16 @@
                        const HttpRequest& request, TimePoint now) {
     const Node& node = m_nodes[index];
     const std::string id(request.headers.Find("Request-Id").value_or(""));
+    const auto origin = m_origins.find(id);
+    if (origin != m_origins.end()) {
+      if (const auto broken = m_notices.OnArrival(index, origin->second.node,
+                                                  origin->second.at, now)) {
+        ReportViolation(*broken + " (" + id + ")");
+      }
+    }
     HttpResponse response;
     response.headers.Add("Request-Id", id);
+    m_notices.AddFields(index, &response.headers);
     if (request.headers.Find("Target-Instance") != node.server_id) {
       response.status = 421;
       session->Respond(response, now);
@@ -348,6 +363,7 @@
     response.status = RandomInt(0, 19) == 0 ? 500 : 200;
     response.headers.Add("Response-Signature", "s-" + id);
     response.headers.Add("Served-By", node.service);
+    response.headers.Add("Served-At", std::to_string(index));
     response.body = "body-" + id;
     m_loop.Schedule(now + milliseconds(RandomInt(1, 150)),
                     [session, response](TimePoint later) {
@@ -367,6 +383,7 @@
     std::string body = path.starts_with("/once/") ? "charge" : "";
     if (path.ends_with("/large")) body = std::string(kMediumBody, 'b');
     sent.body_size = body.size();
+    m_origins[sent.id] = {index, now};
     auto call = std::make_shared<FakeCall>();
     call->session = std::make_shared<HttpClientSession>(
         &m_loop, SocketAddress{node.ip, node.caller_port}, "");
@@ -387,6 +404,7 @@
           call->is_over = true;
           call->result = std::move(result);
           CheckAnswer(sent.id, sent.path, *call);
+          RecordNotice(sent, *call, later);
           CheckConfiguration(sent, *call, later);
           done(*call);
           call->session.reset();
@@ -394,6 +412,15 @@
         now);
   }
 
+  void RecordNotice(const Sent& sent, const FakeCall& call, TimePoint now) {
+    const HttpHeaders& headers = call.result.response.headers;
+    const auto server = headers.Find("Served-At");
+    if (!server || sent.pid != m_nodes[sent.node].pid) return;
+    m_notices.OnPassedOn(
+        std::strtoul(std::string(*server).c_str(), nullptr, 10), sent.node,
+        headers, now);
+  }
+
   // An answer of a node must follow from a version that may be in force there.
   void CheckConfiguration(const Sent& sent, const FakeCall& call,
                           TimePoint now) {
@@ -504,14 +531,16 @@
         {&Soak::Kill, &Soak::Terminate, &Soak::Pause, &Soak::Reset,
          &Soak::Silence, &Soak::StoreDown, &Soak::Change, &Soak::Drain,
          &Soak::Terminate, &Soak::Change, &Soak::Hangup, &Soak::StoreTurnsAway,
-         &Soak::StoreConnectionsGoDark, &Soak::StoreForgets},
+         &Soak::StoreConnectionsGoDark, &Soak::StoreForgets, &Soak::NameLimit,
+         &Soak::NameLimit, &Soak::LimitService, &Soak::Leave, &Soak::Leave},
         50,
         1500};
     // Faults of some nodes, so that the time bounds hold for the others.
     static const Profile kPartial = {
         {&Soak::Change, &Soak::Change, &Soak::Change, &Soak::Change,
          &Soak::StoreTurnsAway, &Soak::StoreTurnsAway, &Soak::PauseSome,
-         &Soak::KillSome, &Soak::StoreConnectionsGoDark, &Soak::StoreForgets},
+         &Soak::KillSome, &Soak::StoreConnectionsGoDark, &Soak::StoreForgets,
+         &Soak::NameLimit, &Soak::LimitService, &Soak::Leave},
         100,
         1600};
     return seed % 2 == 0 ? kMixed : kPartial;
@@ -545,7 +574,11 @@
   // Judges nothing by times that this process may have got wrong.
   void CheckLag(TimePoint due) {
     const TimePoint now = BootClock::now();
-    if (now - due > kMaxLag) DisturbAll(now);
+    if (now - due > kMaxLag) {
+      DisturbAll(now);
+      m_notices.ForgetArrivals();
+      for (size_t i = 0; i < m_nodes.size(); ++i) m_notices.Excuse(i);
+    }
     m_loop.Schedule(now + kLagCheckPeriod, [this, now](TimePoint) {
       CheckLag(now + kLagCheckPeriod);
     });
@@ -557,12 +590,14 @@
 
   void Kill(size_t index, TimePoint now) {
     LogEvent(absl::StrFormat("kill %d", static_cast<int>(index)));
+    m_notices.Excuse(index);
     Disturb(index, now);
     ExtendUnsettledPeriod(now);
     Signal(index, SIGKILL);
   }
   void Terminate(size_t index, TimePoint now) {
     LogEvent(absl::StrFormat("terminate %d", static_cast<int>(index)));
+    m_notices.Excuse(index);
     Disturb(index, now + seconds(6));
     ExtendUnsettledPeriod(now + seconds(6));
     Signal(index, SIGTERM);
@@ -575,20 +610,25 @@
     const Duration length = milliseconds(RandomInt(100, 4000));
     LogEvent(absl::StrFormat("pause %d for %.1f s", static_cast<int>(index),
                              std::chrono::duration<double>(length).count()));
+    m_notices.Excuse(index);
     Disturb(index, now + length);
     ExtendUnsettledPeriod(now + length);
     Signal(index, SIGSTOP);
-    m_loop.Schedule(now + length,
-                    [this, index](TimePoint) { Signal(index, SIGCONT); });
+    m_loop.Schedule(now + length, [this, index](TimePoint) {
+      m_notices.Excuse(index);
+      Signal(index, SIGCONT);
+    });
   }
   void Reset(size_t index, TimePoint now) {
     LogEvent(absl::StrFormat("reset %d", static_cast<int>(index)));
+    m_notices.Excuse(index);
     Disturb(index, now);
     ExtendUnsettledPeriod(now);
     m_nodes[index].network->Reset();
   }
   void Silence(size_t index, TimePoint now) {
     LogEvent(absl::StrFormat("silence %d", static_cast<int>(index)));
+    m_notices.Excuse(index);
     Disturb(index, now);
     ExtendUnsettledPeriod(now);
     m_nodes[index].network->DropTraffic();
@@ -684,6 +724,56 @@
     PublishServer(index, now);
   }
 
+  // A server names a limit, or a value that is none, for some time.
+  void NameLimit(size_t index, TimePoint now) {
+    static constexpr const char* kLimits[] = {"0",  "0.5", "2",  "2",  "5",
+                                              "20", "nan", "-3", "inf"};
+    const std::string value = kLimits[RandomInt(0, std::size(kLimits) - 1)];
+    const Duration length = milliseconds(RandomInt(2000, 16000));
+    LogEvent(absl::StrFormat("server %d names the limit %s for %.1f s",
+                             static_cast<int>(index), value,
+                             std::chrono::duration<double>(length).count()));
+    m_notices.SetLimit(index, value, now);
+    m_loop.Schedule(now + length, [this, index](TimePoint later) {
+      m_notices.SetLimit(index, "", later);
+    });
+  }
+  void LimitService(size_t index, TimePoint now) {
+    for (const Node& node : m_nodes) {
+      if (node.service == m_nodes[index].service) NameLimit(node.index, now);
+    }
+  }
+  // A server says that it leaves, while the list has it as ready, and starts
+  // again under its ID.
+  void Leave(size_t index, TimePoint now) {
+    size_t others = 0;
+    for (const Node& other : m_nodes) {
+      const bool stays =
+          !other.is_draining && !m_notices.IsLeaving(other.index);
+      others += stays && other.service == m_nodes[index].service ? 1 : 0;
+    }
+    if (others < 2 || m_notices.IsLeaving(index)) return;
+    LogEvent(absl::StrFormat("server %d leaves", static_cast<int>(index)));
+    m_notices.SetLeaving(index, true);
+    m_loop.Schedule(
+        now + milliseconds(RandomInt(500, 9000)),
+        [this, index](TimePoint later) { ReturnServer(index, later); });
+  }
+  void ReturnServer(size_t index, TimePoint now) {
+    if (!m_notices.IsLeaving(index)) return;
+    LogEvent(
+        absl::StrFormat("server %d starts again", static_cast<int>(index)));
+    m_notices.SetLeaving(index, false);
+    ++m_nodes[index].server_run;
+    PublishServer(index, now);
+  }
+  void EndNotices(TimePoint now) {
+    for (size_t i = 0; i < m_nodes.size(); ++i) {
+      m_notices.SetLimit(i, "", now);
+      ReturnServer(i, now);
+    }
+  }
+
   // After the faults, every node must serve with the latest version.
   void CheckSettled(TimePoint now) {
     auto left = std::make_shared<size_t>(m_nodes.size());
@@ -718,6 +808,7 @@
   uint16_t m_peer_port = 0;
   SoakStore m_store;
   ConfigHistory m_history;
+  NoticeAudit m_notices;
   int m_version = 0;
   TimePoint m_store_down_until;
   std::vector<Node> m_nodes;
@@ -731,6 +822,12 @@
   size_t m_violations = 0;
   std::map<std::string, int> m_executions;
   std::set<std::string> m_refused;
+  // The node that each request was sent to, and when.
+  struct Origin {
+    size_t node = 0;
+    TimePoint at;
+  };
+  std::map<std::string, Origin> m_origins;
 };
 
 }  // namespace
