--- a/Tests/platform/soak_store.cc
+++ b/Tests/platform/soak_store.cc
@@ -92,6 +92,7 @@
       R"("current_rev":%d})",
       key, encoded, revision, revision);
   m_history.push_back(m_items[key]);
+  m_keys.push_back(key);
   for (const auto& entry : m_entries) {
     if (entry->service == Service::kServes) AnswerWatches(entry.get(), now);
   }
@@ -109,17 +110,18 @@
   for (size_t i = after; i < m_history.size(); ++i) {
     events += (events.empty() ? "" : ",") + m_history[i];
   }
-  session->Respond({200,
-                    {},
-                    absl::StrFormat(R"({"events":[%s],"current_rev":%d})",
-                                    events, m_history.size())},
-                   now);
+  Respond(session, 200,
+          absl::StrFormat(R"({"events":[%s],"current_rev":%d})", events,
+                          m_history.size()),
+          now);
 }
 
 void SoakStore::Answer(Entry* entry, const HttpResponderPtr& session,
                        const HttpRequest& request, TimePoint now) {
   if (request.target.find("kv-key") != std::string::npos) {
-    session->Respond({200, {}, m_items["op/config"]}, now);
+    const auto config = m_items.find("op/config");
+    const bool is_set = config != m_items.end();
+    Respond(session, is_set ? 200 : 404, is_set ? config->second : "", now);
     return;
   }
   if (request.target.find("kv-range") != std::string::npos) {
@@ -128,20 +130,18 @@
       if (!key.starts_with("servers/")) continue;
       items += (items.empty() ? "" : ",") + item;
     }
-    session->Respond(
-        {200,
-         {},
-         absl::StrFormat(
-             R"({"items":[%s],"more_pages":false,"current_rev":%d})", items,
-             m_history.size())},
+    Respond(
+        session, 200,
+        absl::StrFormat(R"({"items":[%s],"more_pages":false,"current_rev":%d})",
+                        items, m_history.size()),
         now);
     return;
   }
   const size_t at = request.target.find("after=");
   const size_t after =
       std::strtoul(request.target.c_str() + at + 6, nullptr, 10);
-  if (after < m_oldest_revision) {
-    session->Respond({410, {}, ""}, now);
+  if (after < m_oldest_revision || after > m_history.size()) {
+    Respond(session, 410, "", now);
     return;
   }
   if (after < m_history.size() || request.target.ends_with("wait_ms=1")) {
@@ -159,8 +159,25 @@
   });
 }
 
-void SoakStore::ForgetHistory() {
-  m_oldest_revision = m_history.size();
+void SoakStore::Respond(const HttpResponderPtr& session, int status,
+                        const std::string& body, TimePoint now) const {
+  HttpResponse response{status, {}, body};
+  const std::string era = era_text.value_or(std::to_string(m_era));
+  if (!era.empty()) response.headers.Add("Store-Era", era);
+  session->Respond(response, now);
+}
+
+void SoakStore::Restore(uint64_t revision) {
+  m_history.resize(revision);
+  m_keys.resize(revision);
+  m_items.clear();
+  for (size_t i = 0; i < revision; ++i) m_items[m_keys[i]] = m_history[i];
+  m_oldest_revision = std::min<size_t>(m_oldest_revision, revision);
+  ++m_era;
+  CutWatches();
+}
+
+void SoakStore::CutWatches() {
   for (const auto& entry : m_entries) {
     for (const auto& [session, after] : std::exchange(entry->watches, {})) {
       session->Abort();
@@ -168,6 +185,11 @@
   }
 }
 
+void SoakStore::ForgetHistory() {
+  m_oldest_revision = m_history.size();
+  CutWatches();
+}
+
 void SoakStore::SetService(size_t node, Service service) {
   Entry& entry = *m_entries[node];
   entry.service = service;
--- a/Tests/platform/soak_store.h
+++ b/Tests/platform/soak_store.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -40,6 +41,13 @@
 
   // Discards the history up to now; pending watches are cut.
   void ForgetHistory();
+  // Comes back from a copy of the state at `revision`, and begins a new era.
+  // Revisions after that are given out again.
+  void Restore(uint64_t revision);
+  uint64_t revision() const { return m_history.size(); }
+  // The text of the header that names the era, if not the number of the era;
+  // empty for no header.
+  std::optional<std::string> era_text;
   void SetService(size_t node, Service service);
   // Open connections of the node go dark; new ones work.
   void SilenceConnections(size_t node);
@@ -68,16 +76,23 @@
     std::unique_ptr<TcpListener> m_listener;
   };
 
+  // Sends an answer with the era.
+  void Respond(const HttpResponderPtr& session, int status,
+               const std::string& body, TimePoint now) const;
   void Answer(Entry* entry, const HttpResponderPtr& session,
               const HttpRequest& request, TimePoint now);
   void AnswerWatch(const HttpResponderPtr& session, size_t after,
                    TimePoint now);
   void AnswerWatches(Entry* entry, TimePoint now);
+  void CutWatches();
 
   EventLoop* m_loop;
   const uint16_t m_port;
   std::map<std::string, std::string> m_items;
+  // The change at revision i + 1 as JSON, and its key.
   std::vector<std::string> m_history;
+  std::vector<std::string> m_keys;
+  uint64_t m_era = 1;
   // Watches from an earlier revision get 410.
   size_t m_oldest_revision = 0;
   std::vector<std::unique_ptr<Entry>> m_entries;
