Relay, Platform: Order the states of the store by era and revision

Cause: all that orders states of the store compared its revision alone. The store gives revisions out again after a restore, so nodes took new changes for known ones, and the reports that carried them for confirmations of what they had. Ruled out: the watch of a reader (a single node got the change), and the copy's configuration (versions never go back).

A later era is newer but need not include what an earlier one had acknowledged. So an answer to a watch of another era, or a read whose answers are of two eras, is read again as a whole; a confirmation counts within its era; versions are ordered by themselves; the store's word on the newest version counts again only when its writers had the time to write what was lost; and a record of the copy does not bring back a server that was known to leave or to be gone until it is written again, or has outlived the platform's lease. An answer that names no era, an earlier one or no number changes nothing.

--- a/Source/relay/config_confirmation.h
+++ b/Source/relay/config_confirmation.h
@@ -15,7 +15,13 @@
   // configuration comes from the embedding program and is always current.
   void Require(Duration max_age) { m_max_age = max_age; }
   // The source had no newer configuration at `at`.
-  void OnConfirmed(TimePoint at) { m_at = std::max(m_at, at); }
+  void OnConfirmed(TimePoint at) {
+    if (at >= m_complete_from) m_at = std::max(m_at, at);
+  }
+  // The source has come back from a copy of an earlier state. Until what it
+  // lost has been written again, it does not know the newest configuration
+  // itself.
+  void OnSourceRestored(TimePoint now) { m_complete_from = now + kRewriteTime; }
 
   bool IsCurrent(TimePoint now) const {
     return !m_max_age || (m_at != TimePoint{} && now - m_at < *m_max_age);
@@ -24,8 +30,12 @@
   TimePoint at() const { return m_at; }
 
  private:
+  // Time in which writers of the source write again what it lost.
+  static constexpr Duration kRewriteTime = std::chrono::milliseconds(2300);
+
   std::optional<Duration> m_max_age;
   TimePoint m_at;
+  TimePoint m_complete_from;
 };
 
 }  // namespace vanillatiller
--- a/Source/relay/fleet_state_exchange.cc
+++ b/Source/relay/fleet_state_exchange.cc
@@ -81,12 +81,13 @@
 
 void FleetStateExchange::OnSnapshot(const relay::Snapshot& snapshot,
                                     TimePoint now) {
-  m_log->Write(
-      LogTopic::kFleetState, "news-from-peer",
-      {{"revision", std::to_string(snapshot.directory_revision())},
-       {"before", std::to_string(m_store->View().directory_revision())},
-       {"servers", std::to_string(snapshot.servers_size())}},
-      now);
+  m_log->Write(LogTopic::kFleetState, "news-from-peer",
+               {{"revision", StateRevision{snapshot.directory_era(),
+                                           snapshot.directory_revision()}
+                                 .ToString()},
+                {"before", DirectoryOf(m_store->View()).ToString()},
+                {"servers", std::to_string(snapshot.servers_size())}},
+               now);
   m_store->ApplySnapshot(snapshot, now);
 }
 
@@ -108,8 +109,9 @@
 }
 
 void FleetStateExchange::RememberChanges(const FleetStateChanges& changes) {
-  // The first changes hold all that is known; a snapshot is no larger.
-  if (changes.from == 0) {
+  // The first changes of an era hold all that is known; a snapshot is no
+  // larger.
+  if (changes.from.IsZero() || changes.from.era != changes.to.era) {
     m_recent.clear();
     m_recent_since = changes.to;
     return;
@@ -136,17 +138,17 @@
   subscriber.send = reply;
   subscriber.last_renewed = now;
   subscriber.renewal_sent = std::chrono::microseconds(subscribe.sent_us());
-  subscriber.revision = subscribe.view().directory_revision();
+  subscriber.revision = DirectoryOf(subscribe.view());
   subscriber.wants_changes = subscribe.wants_changes();
   if (is_new) UpdateReadMode(now);
-  if (is_new || subscriber.revision < m_store->View().directory_revision()) {
+  if (is_new || subscriber.revision < DirectoryOf(m_store->View())) {
     Report(&subscriber, true, now);
   }
 }
 
 void FleetStateExchange::Report(Subscriber* subscriber, bool with_changes,
                                 TimePoint now) {
-  const uint64_t revision = m_store->View().directory_revision();
+  const StateRevision revision = DirectoryOf(m_store->View());
   subscriber->last_sent = now;
   relay::Frame frame;
   relay::Feed* feed = frame.mutable_feed();
@@ -159,14 +161,15 @@
             (confirmed_at - subscriber->last_renewed))
             .count());
   }
-  feed->set_from_revision(revision);
-  feed->set_to_revision(revision);
+  feed->set_era(revision.era);
+  feed->set_from_revision(revision.revision);
+  feed->set_to_revision(revision.revision);
   feed->set_renewal_left_us(ToMicroseconds(m_store->RenewalLeft(now)));
-  const uint64_t known = subscriber->revision;
+  const StateRevision known = subscriber->revision;
   if (with_changes && known < revision) {
     subscriber->revision = revision;
-    if (m_recent_since > 0 && known >= m_recent_since) {
-      feed->set_from_revision(known);
+    if (!m_recent_since.IsZero() && known >= m_recent_since) {
+      feed->set_from_revision(known.revision);
       AddChanges(known, feed);
     } else {
       relay::Frame snapshot;
@@ -177,7 +180,8 @@
   subscriber->send(frame);
 }
 
-void FleetStateExchange::AddChanges(uint64_t since, relay::Feed* feed) const {
+void FleetStateExchange::AddChanges(const StateRevision& since,
+                                    relay::Feed* feed) const {
   for (const auto& [key, change] : m_recent) {
     if (change.revision <= since) continue;
     const auto item =
@@ -188,7 +192,7 @@
       continue;
     }
     added->set_key(change.key);
-    added->set_revision(change.revision);
+    SetRevision(change.revision, added);
     added->set_removed(true);
   }
 }
@@ -203,9 +207,10 @@
                              feed.renewal_left_us(),
                              ToMicroseconds(ServerDirectory::kRenewalGrace))),
                          now);
-  const uint64_t known = m_store->View().directory_revision();
-  if (feed.to_revision() > known) {
-    if (feed.from_revision() > known) {
+  const StateRevision known = DirectoryOf(m_store->View());
+  if (StateRevision{feed.era(), feed.to_revision()} > known) {
+    // The changes that lead to the beginning of an era are unknown.
+    if (feed.era() != known.era || feed.from_revision() > known.revision) {
       if (!provider->announced) provider->announced = now;
       return;
     }
@@ -215,6 +220,11 @@
     if (provider == nullptr) return;
   }
   provider->announced.reset();
+  // A state of this era need not include what an earlier one has confirmed.
+  if (feed.era() != DirectoryOf(m_store->View()).era) {
+    UpdateReadMode(now);
+    return;
+  }
   // The provider's state is no newer than that of this node, so what confirms
   // it confirms this node's, too.
   const TimePoint confirmed_at{std::chrono::microseconds(feed.confirmed_us())};
@@ -364,14 +374,13 @@
   const NewerNode newer = *std::exchange(m_newer_node, std::nullopt);
   if (!m_store->IsBehind(newer.view)) return;
   const relay::View own = View();
-  m_log->Write(
-      LogTopic::kFleetState, "behind-peer",
-      {{"node", newer.node.ToString()},
-       {"revision", std::to_string(own.directory_revision())},
-       {"its_revision", std::to_string(newer.view.directory_revision())},
-       {"config", std::to_string(own.config_version())},
-       {"its_config", std::to_string(newer.view.config_version())}},
-      now);
+  m_log->Write(LogTopic::kFleetState, "behind-peer",
+               {{"node", newer.node.ToString()},
+                {"revision", DirectoryOf(own).ToString()},
+                {"its_revision", DirectoryOf(newer.view).ToString()},
+                {"config", std::to_string(own.config_version())},
+                {"its_config", std::to_string(newer.view.config_version())}},
+               now);
   m_transport->SendToNode(newer.node, MakeSnapshotRequest());
 }
 
--- a/Source/relay/fleet_state_exchange.h
+++ b/Source/relay/fleet_state_exchange.h
@@ -81,7 +81,7 @@
     TimePoint last_sent;
     // ConfirmedAt() of the last report.
     TimePoint reported_confirmation;
-    uint64_t revision = 0;
+    StateRevision revision;
     bool wants_changes = false;
   };
   // A peer that knows more than this node.
@@ -100,7 +100,7 @@
   // Sends a report with the changes that the subscriber does not know yet, or
   // without them.
   void Report(Subscriber* subscriber, bool with_changes, TimePoint now);
-  void AddChanges(uint64_t since, relay::Feed* feed) const;
+  void AddChanges(const StateRevision& since, relay::Feed* feed) const;
   void RememberChanges(const FleetStateChanges& changes);
   void UpdateProviders(TimePoint now);
   void RenewSubscription(Provider* provider, TimePoint now);
@@ -167,7 +167,7 @@
   std::map<uint64_t, Subscriber> m_subscribers;
   // The last change of each key since m_recent_since.
   std::map<std::string, ChangedItem> m_recent;
-  uint64_t m_recent_since = 0;
+  StateRevision m_recent_since;
   std::optional<NewerNode> m_newer_node;
   ReadMode m_mode = ReadMode::kReader;
   TimePoint m_next_snapshot_request;
--- a/Source/relay/fleet_state_store.h
+++ b/Source/relay/fleet_state_store.h
@@ -8,26 +8,27 @@
 #include <vector>
 
 #include "base/base.h"
-#include "relay/relay.pb.h"
+#include "relay/state_revision.h"
 
 namespace vanillatiller {
 
 // Returns true if `view` has a newer directory or configuration than `other`.
 inline bool IsNewer(const relay::View& view, const relay::View& other) {
-  return view.directory_revision() > other.directory_revision() ||
+  return DirectoryOf(view) > DirectoryOf(other) ||
          view.config_version() > other.config_version();
 }
 
 struct ChangedItem {
   std::string key;
-  uint64_t revision = 0;
+  StateRevision revision;
   bool removed = false;
 };
 
-// Changes that brought a state of revision `from` to revision `to`.
+// Changes that brought a state of revision `from` to revision `to`. In a later
+// era than that of `from`, they hold all that is known.
 struct FleetStateChanges {
-  uint64_t from = 0;
-  uint64_t to = 0;
+  StateRevision from;
+  StateRevision to;
   std::vector<ChangedItem> items;
 };
 
@@ -75,7 +76,7 @@
   // asked already.
   virtual void Confirm(TimePoint now) { (void)now; }
   // Applies the changes of a feed that begins at or before the revision of this
-  // node.
+  // node, in the same era.
   virtual void ApplyFeed(const relay::Feed& feed, TimePoint now) {
     (void)feed;
     (void)now;
--- a/Source/relay/peer_server.cc
+++ b/Source/relay/peer_server.cc
@@ -5,6 +5,8 @@
 #include <utility>
 #include <vector>
 
+#include "relay/state_revision.h"
+
 namespace vanillatiller {
 
 // One connection from a caller.
@@ -209,7 +211,7 @@
   *frame.mutable_answer() = EncodeAnswer(key.id, result);
   *frame.mutable_answer()->mutable_load() = m_handler->Load();
   const relay::View view = m_handler->View();
-  if (view.directory_revision() != caller.last_sent_view.directory_revision() ||
+  if (DirectoryOf(view) != DirectoryOf(caller.last_sent_view) ||
       view.config_version() != caller.last_sent_view.config_version()) {
     caller.last_sent_view = view;
     *frame.mutable_answer()->mutable_view() = view;
--- a/Source/relay/relay.cc
+++ b/Source/relay/relay.cc
@@ -45,6 +45,7 @@
     : m_loop(loop),
       m_settings(settings),
       m_log(log),
+      m_directory(settings.record_lifetime),
       m_placement(settings.locality),
       m_executor(loop, settings.server, &m_settings.names, log, &m_metrics,
                  now),
@@ -129,13 +130,13 @@
   if (m_directory.Apply(record, now)) OnServersChanged(now);
 }
 
-void Relay::RemoveServer(std::string_view id, uint64_t revision,
+void Relay::RemoveServer(std::string_view id, const StateRevision& revision,
                          TimePoint now) {
   if (m_directory.Remove(id, revision, now)) OnServersChanged(now);
 }
 
 void Relay::ApplyServers(const std::vector<ServerRecord>& list,
-                         uint64_t revision, TimePoint now) {
+                         const StateRevision& revision, TimePoint now) {
   const bool is_first = !std::exchange(m_has_servers, true);
   if (m_directory.ApplyList(list, revision, now) > 0 || is_first) {
     OnServersChanged(now);
@@ -143,17 +144,21 @@
   if (HasRoutesAndServers()) m_router.StartServing(now);
 }
 
+void Relay::OnPlatformBack(TimePoint now) { m_directory.OnSourceRestored(now); }
+
 void Relay::OnPlatformRestored(TimePoint now) {
   m_directory.OnSourceRestored(now);
+  m_router.OnSourceRestored(now);
 }
 
 void Relay::OnServersChanged(TimePoint now) {
+  m_directory.Advance(now);
   const auto usable = m_directory.Usable(now);
   m_placement.Update(usable, now);
   m_log->Write(LogTopic::kFleetState, "servers",
                {{"usable", std::to_string(usable.size())},
                 {"known", std::to_string(m_directory.size())},
-                {"revision", std::to_string(m_directory.revision())}},
+                {"revision", m_directory.revision().ToString()}},
                now);
   std::vector<FleetNode> nodes;
   nodes.reserve(usable.size());
--- a/Source/relay/relay.h
+++ b/Source/relay/relay.h
@@ -53,6 +53,9 @@
   // comes before.
   Duration stop_grace = std::chrono::seconds(6);
   uint64_t incarnation = 0;
+  // Time without a sign of life after which the platform drops the record of a
+  // server.
+  Duration record_lifetime = std::chrono::seconds(6);
   // Time in which a change of the configuration must be in force.
   Duration config_bound = std::chrono::milliseconds(2500);
 };
@@ -77,9 +80,14 @@
   void OnConfigConfirmed(TimePoint at) { m_router.OnConfigConfirmed(at); }
   // Apply changes of the server list.
   void ApplyServer(const ServerRecord& record, TimePoint now);
-  void RemoveServer(std::string_view id, uint64_t revision, TimePoint now);
-  void ApplyServers(const std::vector<ServerRecord>& list, uint64_t revision,
+  void RemoveServer(std::string_view id, const StateRevision& revision,
                     TimePoint now);
+  void ApplyServers(const std::vector<ServerRecord>& list,
+                    const StateRevision& revision, TimePoint now);
+  // The platform is readable again after an outage, in which records may have
+  // expired.
+  void OnPlatformBack(TimePoint now);
+  // The platform has come back from a copy of an earlier state.
   void OnPlatformRestored(TimePoint now);
 
   // Must be called before Start(). `store` must outlive the relay.
--- a/Source/relay/request_router.h
+++ b/Source/relay/request_router.h
@@ -56,6 +56,7 @@
     m_confirmation.Require(max_age);
   }
   void OnConfigConfirmed(TimePoint at) { m_confirmation.OnConfirmed(at); }
+  void OnSourceRestored(TimePoint now) { m_confirmation.OnSourceRestored(now); }
   // Reports that the configuration is no longer confirmed, or is again.
   void CheckConfirmation(TimePoint now);
   // Starts processing the requests that waited for routes and servers. Called
--- a/Source/relay/server_directory.cc
+++ b/Source/relay/server_directory.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace vanillatiller {
 
@@ -17,8 +18,24 @@
   return ApplyRecord(record, now);
 }
 
+bool ServerDirectory::MayBeCopy(const Entry& entry, const ServerRecord& record,
+                                TimePoint now) const {
+  // Nothing is known of the server, or that has been written in this era.
+  const StateRevision known =
+      std::max(entry.record.revision, entry.removed_revision);
+  if (known.IsZero() || known.era == record.revision.era) return false;
+  // Written after the first list of the era.
+  if (record.revision > m_era_start) return false;
+  if (now - m_era_began >= m_record_lifetime) return false;
+  // A later run is newer, and a server that is leaving does not stay.
+  const bool is_later_run =
+      !entry.record.id.empty() && record.started_ms > entry.record.started_ms;
+  if (is_later_run || record.draining) return false;
+  return entry.expires.has_value() || entry.record.draining;
+}
+
 bool ServerDirectory::ApplyRecord(const ServerRecord& record, TimePoint now) {
-  m_revision = std::max(m_revision, record.revision);
+  AdvanceTo(record.revision, now);
   Entry& entry = m_entries[record.id];
   // The record is a delayed copy from before a restart of the server.
   if (record.started_ms < entry.record.started_ms) return false;
@@ -26,6 +43,11 @@
       record.revision <= entry.removed_revision) {
     return false;
   }
+  if (MayBeCopy(entry, record, now)) {
+    entry.copy = record;
+    entry.copy_counts_at = m_era_began + m_record_lifetime;
+    return false;
+  }
   const ServerRecord& old = entry.record;
   const bool changed =
       !IsPresent(entry, now) || old.service != record.service ||
@@ -33,12 +55,29 @@
       old.slots != record.slots || old.started_ms != record.started_ms;
   entry.record = record;
   entry.expires.reset();
+  entry.copy.reset();
   return changed;
 }
 
-bool ServerDirectory::Remove(std::string_view id, uint64_t revision,
+void ServerDirectory::AdvanceTo(const StateRevision& revision, TimePoint now) {
+  if (revision <= m_revision) return;
+  if (revision.era > m_revision.era) {
+    m_era_start = revision;
+    m_era_began = now;
+  }
+  m_revision = revision;
+}
+
+void ServerDirectory::Advance(TimePoint now) {
+  for (auto& [id, entry] : m_entries) {
+    if (!entry.copy || now < entry.copy_counts_at) continue;
+    ApplyRecord(*std::exchange(entry.copy, std::nullopt), now);
+  }
+}
+
+bool ServerDirectory::Remove(std::string_view id, const StateRevision& revision,
                              TimePoint now) {
-  m_revision = std::max(m_revision, revision);
+  AdvanceTo(revision, now);
   const auto found = m_entries.find(id);
   if (found == m_entries.end()) {
     // A delayed copy of the record may follow.
@@ -50,6 +89,7 @@
   Entry& entry = found->second;
   if (revision < entry.record.revision) return false;
   entry.removed_revision = std::max(entry.removed_revision, revision);
+  if (entry.copy && entry.copy->revision <= revision) entry.copy.reset();
   if (entry.expires) return false;
   entry.expires = std::max(now, m_renewal_deadline);
   DropExpired(now);
@@ -57,8 +97,10 @@
 }
 
 size_t ServerDirectory::ApplyList(const std::vector<ServerRecord>& list,
-                                  uint64_t revision, TimePoint now) {
+                                  const StateRevision& revision,
+                                  TimePoint now) {
   if (revision < m_forgotten_revision) return 0;
+  AdvanceTo(revision, now);
   size_t changes = 0;
   std::set<std::string_view> listed;
   for (const ServerRecord& record : list) {
@@ -72,7 +114,6 @@
   for (const std::string& id : missing) {
     changes += Remove(id, revision, now) ? 1 : 0;
   }
-  m_revision = std::max(m_revision, revision);
   return changes;
 }
 
@@ -102,7 +143,8 @@
   static constexpr Duration kTombstoneLifetime = std::chrono::seconds(30);
   std::erase_if(m_entries, [this, now](const auto& item) {
     const Entry& entry = item.second;
-    if (!entry.expires || now - *entry.expires <= kTombstoneLifetime) {
+    if (entry.copy || !entry.expires ||
+        now - *entry.expires <= kTombstoneLifetime) {
       return false;
     }
     m_forgotten_revision =
@@ -145,9 +187,12 @@
 
 std::optional<TimePoint> ServerDirectory::NextExpiry(TimePoint now) const {
   std::optional<TimePoint> next;
+  const auto consider = [&next, now](TimePoint time) {
+    if (time > now && (!next || time < *next)) next = time;
+  };
   for (const auto& [id, entry] : m_entries) {
-    if (!entry.expires || *entry.expires <= now) continue;
-    if (!next || *entry.expires < *next) next = entry.expires;
+    if (entry.expires) consider(*entry.expires);
+    if (entry.copy) consider(entry.copy_counts_at);
   }
   return next;
 }
--- a/Source/relay/server_directory.h
+++ b/Source/relay/server_directory.h
@@ -11,6 +11,7 @@
 #include "base/base.h"
 #include "eventio/tcp_connection.h"
 #include "relay/leaving_servers.h"
+#include "relay/state_revision.h"
 
 namespace vanillatiller {
 
@@ -28,8 +29,8 @@
   // Start time by the server's clock, in milliseconds; 0 if unknown.
   // Distinguishes restarts that keep the same ID.
   uint64_t started_ms = 0;
-  // Revision of the platform's list that contains the record.
-  uint64_t revision = 0;
+  // When the platform's list last changed the record.
+  StateRevision revision;
 };
 
 // This node's view of the backend servers.
@@ -38,15 +39,29 @@
 // happens while the list is unavailable for writes. Servers renew their records
 // soon after the list is available again, so a record that is missing right
 // after an outage is kept for a grace period.
+//
+// A list of a new era is a copy of an earlier one: servers that left or are
+// leaving stand in it as they were before, and new ones are missing. What was
+// known of a server then holds until its record has been written in the new era
+// after the first list, or has outlived the time in which the platform drops
+// the record of a server that has ended.
 class ServerDirectory {
  public:
+  // `record_lifetime`: time without a sign of life after which the platform
+  // drops a server's record.
+  explicit ServerDirectory(Duration record_lifetime = kDefaultRecordLifetime)
+      : m_record_lifetime(record_lifetime) {}
+
   // Applies one record; false if nothing changed.
   bool Apply(const ServerRecord& record, TimePoint now);
   // Applies the removal of a record at `revision`; false if nothing changed.
-  bool Remove(std::string_view id, uint64_t revision, TimePoint now);
+  bool Remove(std::string_view id, const StateRevision& revision,
+              TimePoint now);
   // Applies the complete list at `revision`. Returns the number of changes.
-  size_t ApplyList(const std::vector<ServerRecord>& list, uint64_t revision,
-                   TimePoint now);
+  size_t ApplyList(const std::vector<ServerRecord>& list,
+                   const StateRevision& revision, TimePoint now);
+  // Applies what is due at `now`; see NextExpiry().
+  void Advance(TimePoint now);
   // The server itself says that it is leaving. Returns whether a record that
   // may receive work is affected.
   bool MarkLeaving(const ServerIncarnation& server, TimePoint now);
@@ -66,10 +81,10 @@
   // The most recently started server at `address`, usable or draining.
   const ServerRecord* FindByAddress(const SocketAddress& address,
                                     TimePoint now) const;
-  // Next time at which a record expires.
+  // Next time at which a record expires, or one of a copy begins to count.
   std::optional<TimePoint> NextExpiry(TimePoint now) const;
 
-  uint64_t revision() const { return m_revision; }
+  const StateRevision& revision() const { return m_revision; }
   size_t size() const { return m_entries.size(); }
 
  private:
@@ -78,19 +93,34 @@
     // Set if the list has no such record; the record remains present until this
     // time.
     std::optional<TimePoint> expires;
-    uint64_t removed_revision = 0;
+    StateRevision removed_revision;
+    // A record of the present era that may be a copy from before what is known,
+    // and the time at which it counts nevertheless.
+    std::optional<ServerRecord> copy;
+    TimePoint copy_counts_at;
   };
 
+  static constexpr Duration kDefaultRecordLifetime = std::chrono::seconds(6);
+
   static bool IsPresent(const Entry& entry, TimePoint now);
   bool ApplyRecord(const ServerRecord& record, TimePoint now);
+  // Whether the record may be older than what is known of its server.
+  bool MayBeCopy(const Entry& entry, const ServerRecord& record,
+                 TimePoint now) const;
+  // The state of the list is known to be at least this.
+  void AdvanceTo(const StateRevision& revision, TimePoint now);
   void DropExpired(TimePoint now);
 
+  const Duration m_record_lifetime;
   std::map<std::string, Entry, std::less<>> m_entries;
   LeavingServers m_leaving;
-  uint64_t m_revision = 0;
+  StateRevision m_revision;
+  // The first known state of the present era, and when it became known.
+  StateRevision m_era_start;
+  TimePoint m_era_began;
   // Highest revision of a removal without a tombstone. Records of unknown
   // servers, and lists, that are not newer may be from before that removal.
-  uint64_t m_forgotten_revision = 0;
+  StateRevision m_forgotten_revision;
   TimePoint m_renewal_deadline;
 };
 
--- a/Tests/fleet_state_test.cc
+++ b/Tests/fleet_state_test.cc
@@ -104,29 +104,61 @@
   BOOST_TEST(selection.Select(kStart).empty());
 }
 
-// The platform's store with its revision and one value for each key.
+// The platform's store with its state and one value for each key.
 struct FakePlatform {
-  uint64_t revision = 1;
-  std::vector<ChangedItem> log;
-  // When each change was made.
-  std::vector<TimePoint> times;
+  StateRevision state{1, 1};
+  // The changes of each era. The log of a later one begins with what the copy
+  // had that the store came back from.
+  std::map<uint64_t, std::vector<ChangedItem>> logs;
+  // Each state that the store has been in, and since when.
+  std::vector<std::pair<TimePoint, StateRevision>> states;
   // Reads and watches that returned, and calls for a confirmation.
   size_t calls = 0;
   size_t confirmations = 0;
 
   void Change(const std::string& key, TimePoint now) {
-    log.push_back({key, ++revision, false});
-    times.push_back(now);
-  }
-  // The revision after all changes before `time`.
-  uint64_t RevisionAt(TimePoint time) const {
-    const auto later = std::lower_bound(times.begin(), times.end(), time);
-    return 1 + static_cast<uint64_t>(later - times.begin());
-  }
-  // Revision of the last change of each key.
-  std::map<std::string, uint64_t> LastChanges() const {
-    std::map<std::string, uint64_t> last;
-    for (const ChangedItem& change : log) last[change.key] = change.revision;
+    ++state.revision;
+    logs[state.era].push_back({key, state, false});
+    states.emplace_back(now, state);
+  }
+  // Comes back from a copy that lacks the last `lost` changes.
+  void Restore(size_t lost, TimePoint now) {
+    std::vector<ChangedItem> log = logs[state.era];
+    log.resize(log.size() - std::min(lost, log.size()));
+    ++state.era;
+    state.revision = log.empty() ? 1 : log.back().revision.revision;
+    for (ChangedItem& change : log) change.revision.era = state.era;
+    logs[state.era] = std::move(log);
+    states.emplace_back(now, state);
+  }
+  // The state after all changes before `time`.
+  StateRevision StateAt(TimePoint time) const {
+    StateRevision last{1, 1};
+    for (const auto& [since, reached] : states) {
+      if (since < time) last = reached;
+    }
+    return last;
+  }
+  // The changes that bring a node from one state to a later one.
+  std::vector<ChangedItem> Changes(const StateRevision& from,
+                                   const StateRevision& to) const {
+    std::vector<ChangedItem> changes;
+    const auto log = logs.find(to.era);
+    if (log == logs.end()) return changes;
+    for (const ChangedItem& change : log->second) {
+      if (change.revision > from && change.revision <= to) {
+        changes.push_back(change);
+      }
+    }
+    return changes;
+  }
+  // Revision of the last change of each key between two states.
+  std::map<std::string, StateRevision> LastChanges(
+      const StateRevision& from, const StateRevision& to) const {
+    std::map<std::string, StateRevision> last;
+    for (const ChangedItem& change : Changes(from, to)) {
+      last[change.key] = change.revision;
+    }
     return last;
   }
 };
@@ -157,7 +189,7 @@
   void Start(const std::vector<FleetNode>& nodes, TimePoint now) {
     if (serving == Serving::kAnswers) {
       ++m_platform->calls;
-      Advance(m_platform->revision, now);
+      Advance(m_platform->state, now);
     }
     for (const FleetNode& node : nodes) {
       if (node.address != m_address) m_connected_nodes.push_back(node.address);
@@ -219,23 +251,24 @@
     if (confirmed_at <= m_confirmed_at) return;
     BOOST_TEST((confirmed_at <= now));
     // A confirmation must be true: all changes up to then are known here.
-    BOOST_TEST(m_revision >= m_platform->RevisionAt(confirmed_at));
+    BOOST_TEST((m_state >= m_platform->StateAt(confirmed_at)));
     m_confirmed_at = confirmed_at;
-    if (m_listener) m_listener({m_revision, m_revision, {}}, now);
+    if (m_listener) m_listener({m_state, m_state, {}}, now);
   }
   relay::View View() const override {
     relay::View view;
-    view.set_directory_revision(m_revision);
+    SetDirectory(m_state, &view);
     return view;
   }
   relay::Snapshot MakeSnapshot() const override {
     relay::Snapshot snapshot;
-    snapshot.set_directory_revision(m_revision);
+    snapshot.set_directory_era(m_state.era);
+    snapshot.set_directory_revision(m_state.revision);
     snapshot.set_is_complete(true);
     return snapshot;
   }
   void ApplySnapshot(const relay::Snapshot& snapshot, TimePoint now) override {
-    Advance(snapshot.directory_revision(), now);
+    Advance({snapshot.directory_era(), snapshot.directory_revision()}, now);
   }
   void SetListener(Listener listener) override {
     m_listener = std::move(listener);
@@ -250,32 +283,37 @@
     }
   }
   void ApplyFeed(const relay::Feed& feed, TimePoint now) override {
-    BOOST_TEST(feed.from_revision() <= m_revision);
-    std::set<uint64_t> changed;
+    BOOST_TEST(feed.era() == m_state.era);
+    BOOST_TEST(feed.from_revision() <= m_state.revision);
+    const StateRevision to{feed.era(), feed.to_revision()};
+    std::set<StateRevision> changed;
     for (const relay::Item& item : feed.changes()) {
-      changed.insert(item.revision());
+      changed.insert(RevisionOf(item));
     }
     // The last change of each key must have been sent.
-    for (const auto& [key, revision] : m_platform->LastChanges()) {
-      if (revision > m_revision && revision <= feed.to_revision()) {
-        BOOST_TEST(changed.contains(revision));
-      }
+    for (const auto& [key, revision] : m_platform->LastChanges(m_state, to)) {
+      BOOST_TEST(changed.contains(revision));
     }
-    Advance(feed.to_revision(), now);
+    Advance(to, now);
   }
   std::optional<relay::Item> FindItem(const std::string& key) const override {
     relay::Item item;
     item.set_key(key);
-    for (const ChangedItem& change : m_platform->log) {
-      if (change.key == key && change.revision <= m_revision) {
-        item.set_revision(change.revision);
-      }
+    for (const ChangedItem& change : m_platform->Changes({}, m_state)) {
+      if (change.key == key) SetRevision(change.revision, &item);
     }
     return item;
   }
 
   Serving serving = Serving::kAnswers;
-  uint64_t revision() const { return m_revision; }
+  const StateRevision& state() const { return m_state; }
+  // The store ends what is pending when it comes back from a copy, or its
+  // answers get lost.
+  void OnStoreRestored(bool loses_answers) {
+    if (!m_watch) return;
+    m_watch->is_dark = true;
+    if (!loses_answers) m_watch.reset();
+  }
   ReadMode mode() const { return m_mode; }
 
  private:
@@ -329,28 +367,24 @@
     m_last_answer = now;
     m_backoff.OnSuccess();
     ++m_platform->confirmations;
-    Advance(m_platform->revision, now);
+    Advance(m_platform->state, now);
     OnConfirmed(call.sent, now);
     if (!m_watch && m_mode != ReadMode::kFromPeers) {
       m_watch = PendingWatch{now + kWatchWait};
     }
   }
   void Watch(TimePoint now) {
-    if (!m_watch || m_watch->is_dark || m_platform->revision <= m_revision) {
-      return;
-    }
+    if (!m_watch || m_watch->is_dark || m_platform->state <= m_state) return;
     ++m_platform->calls;
-    Advance(m_platform->revision, now);
-  }
-  void Advance(uint64_t revision, TimePoint now) {
-    if (revision <= m_revision) return;
-    FleetStateChanges changes{m_revision, revision, {}};
-    for (const ChangedItem& item : m_platform->log) {
-      if (item.revision > m_revision && item.revision <= revision) {
-        changes.items.push_back(item);
-      }
-    }
-    m_revision = revision;
+    Advance(m_platform->state, now);
+  }
+  void Advance(const StateRevision& state, TimePoint now) {
+    if (state <= m_state) return;
+    FleetStateChanges changes{m_state, state,
+                              m_platform->Changes(m_state, state)};
+    // See StoreClient::BeginEra().
+    if (state.era != m_state.era) m_confirmed_at = {};
+    m_state = state;
     if (m_listener) m_listener(changes, now);
   }
 
@@ -359,7 +393,7 @@
   const SocketAddress m_address;
   std::vector<SocketAddress> m_connected_nodes;
   Listener m_listener;
-  uint64_t m_revision = 0;
+  StateRevision m_state;
   ReadMode m_mode = ReadMode::kReader;
   // A round trip, and what a new connection adds.
   static constexpr Duration kAnswerTime = milliseconds(40);
@@ -439,10 +473,17 @@
   }
   FakeNode& node(size_t index) { return *m_nodes[index]; }
   size_t size() const { return m_nodes.size(); }
+  // The platform's store comes back from a copy that lacks some changes.
+  void RestoreStore(size_t lost) {
+    platform.Restore(lost, now);
+    for (size_t i = 0; i < m_nodes.size(); ++i) {
+      m_nodes[i]->OnStoreRestored(i % 2 == 0);
+    }
+  }
   // Whether all nodes that run know the newest revision.
   bool AllKnowNewest() const {
     for (size_t i = 0; i < m_nodes.size(); ++i) {
-      if (!frozen.contains(i) && m_nodes[i]->revision() < platform.revision) {
+      if (!frozen.contains(i) && m_nodes[i]->state() < platform.state) {
         return false;
       }
     }
@@ -452,7 +493,7 @@
   // Whether all nodes that the platform answers know the newest revision.
   bool ServedKnowNewest() const {
     for (size_t i = 0; i < m_nodes.size(); ++i) {
-      if (!IsDisturbed(i) && m_nodes[i]->revision() < platform.revision) {
+      if (!IsDisturbed(i) && m_nodes[i]->state() < platform.state) {
         return false;
       }
     }
@@ -607,6 +648,55 @@
   }
 }
 
+// The store comes back from a copy of an earlier state, and a change is made.
+// Nodes that followed others took its revision, which is given out again, for a
+// known one.
+BOOST_AUTO_TEST_CASE(ChangesArriveAfterARestore) {
+  for (const size_t lost : {0U, 1U, 9U, 50U}) {
+    BOOST_TEST_CONTEXT(lost << " changes lost") {
+      FakeFleet fleet(36);
+      for (int i = 0; i < 20; ++i) {
+        fleet.platform.Change("servers/a", fleet.now);
+        fleet.Run(milliseconds(200));
+      }
+      fleet.RestoreStore(lost);
+      fleet.Run(milliseconds(100));
+      fleet.platform.Change("op/config", fleet.now);
+      fleet.Run(kChangeBound);
+      BOOST_TEST(fleet.AllKnowNewest());
+      BOOST_TEST_CONTEXT("once more, soon after") {
+        fleet.RestoreStore(1);
+        fleet.platform.Change("op/config", fleet.now);
+        fleet.Run(kChangeBound);
+        BOOST_TEST(fleet.AllKnowNewest());
+        fleet.Run(seconds(4));
+        BOOST_TEST(fleet.Readers().size() <= 6U);
+      }
+    }
+  }
+}
+
+// A report that was confirmed in an earlier era must not confirm a state of the
+// present one, which need not include it.
+BOOST_AUTO_TEST_CASE(ConfirmationsHoldWithinTheirEra) {
+  FakeFleet fleet(12);
+  fleet.Run(seconds(3));
+  const std::vector<size_t> readers = fleet.Readers();
+  BOOST_TEST_REQUIRE(readers.size() >= 2U);
+  size_t follower = 0;
+  while (fleet.node(follower).mode() != ReadMode::kFromPeers) ++follower;
+  // Only the follower has read the state of the new era.
+  for (size_t i = 0; i < fleet.size(); ++i) fleet.SetReadable(i, false);
+  fleet.platform.Restore(0, fleet.now);
+  relay::Snapshot snapshot;
+  snapshot.set_directory_era(fleet.platform.state.era);
+  snapshot.set_directory_revision(fleet.platform.state.revision);
+  fleet.node(follower).ApplySnapshot(snapshot, fleet.now);
+  BOOST_TEST((fleet.node(follower).ConfirmedAt() == TimePoint{}));
+  fleet.Run(milliseconds(1200));
+  BOOST_TEST((fleet.node(follower).ConfirmedAt() == TimePoint{}));
+}
+
 // A frozen or cut off provider's last report must not count for longer than
 // what it confirmed.
 BOOST_AUTO_TEST_CASE(ConfirmationsEndWithTheirAge) {
@@ -667,7 +757,7 @@
         fleet.Run(kStableTime - kChangeBound);
         fleet.platform.Change("op/config", fleet.now);
         fleet.Run(kChangeBound);
-        BOOST_TEST(fleet.node(node).revision() == fleet.platform.revision);
+        BOOST_TEST((fleet.node(node).state() == fleet.platform.state));
       }
     }
   }
@@ -700,7 +790,7 @@
       fleet.Run(std::max(earliest - fleet.now, Duration(milliseconds(20))));
       fleet.platform.Change("op/config", fleet.now);
       fleet.Run(kChangeBound);
-      BOOST_TEST(fleet.node(node).revision() == fleet.platform.revision);
+      BOOST_TEST((fleet.node(node).state() == fleet.platform.state));
     }
   }
 }
@@ -761,6 +851,7 @@
     {[](FakeFleet* fleet, size_t) {
       fleet->platform.Change("op/config", fleet->now);
     }},
+    {[](FakeFleet* fleet, size_t i) { fleet->RestoreStore(i); }},
 };
 
 rc::Gen<FaultStep> AnyStep(size_t nodes) {
@@ -775,7 +866,8 @@
 }
 
 // Random series of freezes, restarts, cuts, failures of the platform for some
-// nodes, and changes. A node must never go back to a lower revision. A node
+// nodes, restores of its store, and changes. A node must never go back to an
+// earlier state. A node
 // that has been undisturbed for some time must know of each change in time,
 // whatever befalls the others. Once the failures end, all nodes must know of
 // all changes in time.
@@ -785,24 +877,24 @@
     fleet.Run(seconds(1));
     const auto steps =
         *rc::gen::container<std::vector<FaultStep>>(AnyStep(fleet.size()));
-    std::vector<uint64_t> seen(fleet.size());
+    std::vector<StateRevision> seen(fleet.size());
     std::vector<TimePoint> last_disturbed(fleet.size());
     for (const FaultStep& step : steps) {
       const RandomFault& fault = kRandomFaults[step.fault];
       // A restarted node knows nothing.
       const FakeNode* before = &fleet.node(step.node);
       fault.apply(&fleet, step.node);
-      if (&fleet.node(step.node) != before) seen[step.node] = 0;
+      if (&fleet.node(step.node) != before) seen[step.node] = {};
       if (fault.disturbs) last_disturbed[step.node] = fleet.now;
       for (const TimePoint end = fleet.now + step.pause; fleet.now < end;) {
         fleet.Run(milliseconds(100));
         for (size_t i = 0; i < fleet.size(); ++i) {
-          RC_ASSERT(fleet.node(i).revision() >= seen[i]);
-          seen[i] = fleet.node(i).revision();
+          RC_ASSERT(fleet.node(i).state() >= seen[i]);
+          seen[i] = fleet.node(i).state();
           if (fleet.IsDisturbed(i)) last_disturbed[i] = fleet.now;
           if (fleet.now - last_disturbed[i] < kStableTime) continue;
           RC_ASSERT(seen[i] >=
-                    fleet.platform.RevisionAt(fleet.now - kChangeBound));
+                    fleet.platform.StateAt(fleet.now - kChangeBound));
         }
       }
     }
--- a/Tests/leaving_server_test.cc
+++ b/Tests/leaving_server_test.cc
@@ -56,7 +56,7 @@
       static uint64_t revision = 1;
       ServerRecord record = fleet.RecordOf(0);
       record.started_ms = item.started_ms;
-      record.revision = ++revision;
+      record.revision = {0, ++revision};
       for (size_t node = 0; node < 2; ++node) {
         fleet.relay(node).ApplyServer(record, BootClock::now());
       }
@@ -177,17 +177,17 @@
       record.id = "server-" + std::to_string(server);
       record.address = {"10.0.0.1", static_cast<uint16_t>(9000 + server)};
       record.started_ms = started_ms;
-      record.revision = ++revision;
+      record.revision = {0, ++revision};
       switch (kind) {
         case 0:
           directory.MarkLeaving({record.id, started_ms}, now);
           marked[record.id] = std::max(marked[record.id], started_ms);
           break;
         case 1:
-          directory.Remove(record.id, revision, now);
+          directory.Remove(record.id, {0, revision}, now);
           break;
         case 2:
-          directory.ApplyList({record}, revision, now);
+          directory.ApplyList({record}, {0, revision}, now);
           break;
         case 3:
           directory.OnSourceRestored(now);
--- a/Tests/platform/platform_test.cc
+++ b/Tests/platform/platform_test.cc
@@ -261,7 +261,7 @@
       text += good;
       text += R"(],"current_rev":10})";
       std::string reason;
-      const auto items = DecodeItems(text, &reason);
+      const auto items = DecodeItems(text, 0, &reason);
       BOOST_TEST_REQUIRE(items.has_value(), reason);
       BOOST_TEST_REQUIRE(items->items.size() == 1U);
       BOOST_TEST(items->items[0].key == "servers/i-1");
@@ -281,6 +281,8 @@
   struct Answer {
     int status = 200;
     std::string body;
+    // The header that names the era; empty for none.
+    std::string era;
   };
 
   explicit ScriptedStore(EventLoop* loop) : m_loop(loop) {
@@ -302,21 +304,24 @@
       if (!request.target.starts_with(prefix) || answers.empty()) continue;
       const Answer answer = answers.front();
       answers.pop_front();
-      session->Respond(HttpResponse{answer.status, {}, answer.body}, now);
+      HttpResponse response{answer.status, {}, answer.body};
+      const std::string& named = answer.era.empty() ? era : answer.era;
+      if (!named.empty()) response.headers.Add("Store-Era", named);
+      session->Respond(response, now);
       return;
     }
     const size_t after = request.target.find("after=");
     if (request.target.ends_with("wait_ms=1") && !is_silent) {
       const std::string_view revision =
           std::string_view{request.target}.substr(after + 6);
-      session->Respond(
-          HttpResponse{
-              200,
-              {},
-              absl::StrCat(R"({"events":[],"current_rev":)",
-                           std::string(revision.substr(0, revision.find('&'))),
-                           "}")},
-          now);
+      HttpResponse response{
+          200,
+          {},
+          absl::StrCat(R"({"events":[],"current_rev":)",
+                       std::string(revision.substr(0, revision.find('&'))),
+                       "}")};
+      if (!era.empty()) response.headers.Add("Store-Era", era);
+      session->Respond(response, now);
       return;
     }
     // A watch without changes stays open.
@@ -325,13 +330,17 @@
   void OnCallerDisconnected(const HttpResponderPtr&, TimePoint) override {}
   void AnswerWaiting(const std::string& body) {
     for (const HttpResponderPtr& waiting : std::exchange(m_waiting, {})) {
-      waiting->Respond(HttpResponse{200, {}, body}, BootClock::now());
+      HttpResponse response{200, {}, body};
+      if (!era.empty()) response.headers.Add("Store-Era", era);
+      waiting->Respond(response, BootClock::now());
     }
   }
 
   SocketAddress address;
   // Whether no call is answered that the script does not answer.
   bool is_silent = false;
+  // Names the era of answers that name none themselves; empty for no header.
+  std::string era;
   std::vector<std::string> calls;
   std::vector<std::pair<std::string, std::deque<Answer>>> script;
 
@@ -613,6 +622,141 @@
   BOOST_TEST(status_without_route("r2").find(" 503 ") != std::string::npos);
 }
 
+std::string ListAt(uint64_t revision) {
+  return absl::StrCat(R"({"items":[],"more_pages":false,"current_rev":)",
+                      revision, "}");
+}
+
+// An answer that cannot be ordered must change nothing: one of an earlier era,
+// one without an era from a store that has eras, or with a value that is no
+// number. The next answer that can be ordered counts.
+BOOST_AUTO_TEST_CASE(AnswersThatCannotBeOrderedChangeNothing) {
+  struct Case {
+    const char* what;
+    std::string era;
+    std::string reason;
+  };
+  const std::vector<Case> cases = {
+      {"earlier era", "4", "era-behind"},
+      {"no number", "five", "era-unreadable"},
+      {"negative", "-1", "era-unreadable"},
+      {"a sign", "+6", "era-unreadable"},
+      {"a fraction", "5.5", "era-unreadable"},
+      {"too large", "99999999999999999999999", "era-unreadable"},
+      {"blank", " ", "era-unreadable"},
+  };
+  for (const Case& item : cases) {
+    BOOST_TEST_CONTEXT(item.what) {
+      StoreFixture fixture;
+      LogPipe log;
+      StoreClient client(&fixture.pair.loop, fixture.store.address,
+                         fixture.pair.front.get(), &log.log);
+      fixture.store.era = "5";
+      fixture.store.script = {
+          {"/-/kv-range", {{200, ListAt(10)}}},
+          {"/-/kv-key", {{200, Item("op/config", ConfigVersion(7), 5)}}},
+          {"/-/kv-watch",
+           {{200,
+             R"({"events":[)" + Item("op/config", ConfigVersion(8), 11) +
+                 R"(],"current_rev":11})",
+             item.era},
+            {200, R"({"events":[)" + Item("op/config", ConfigVersion(9), 12) +
+                      R"(],"current_rev":12})"}}}};
+      client.Start(false, BootClock::now());
+      BOOST_TEST_REQUIRE(RunUntil(&fixture.pair.loop, [&] {
+        return fixture.store.script[2].second.size() == 1;
+      }));
+      BOOST_TEST(RunUntil(&fixture.pair.loop, [&] {
+        return fixture.pair.front->config_version() != 7;
+      }));
+      BOOST_TEST(fixture.pair.front->config_version() == 9U);
+      log.log.Flush();
+      BOOST_TEST(log.Read().find("reason=" + item.reason + " ") !=
+                 std::string::npos);
+    }
+  }
+}
+
+// A store that has named an era leaves it out.
+BOOST_FIXTURE_TEST_CASE(AnswerWithoutAnEraChangesNothing, StoreFixture) {
+  store.era = "5";
+  store.script = {
+      {"/-/kv-range", {{200, ListAt(10)}}},
+      {"/-/kv-key", {{200, Item("op/config", ConfigVersion(7), 5)}}}};
+  client.Start(false, BootClock::now());
+  BOOST_TEST_REQUIRE(RunUntil(&pair.loop, [&] { return HasWatched(10); }));
+  const TimePoint confirmed = client.ConfirmedAt();
+  store.era = "";
+  client.Confirm(BootClock::now());
+  BOOST_TEST(
+      RunUntil(&pair.loop, [&] { return client.IsPlatformUnreachable(); }));
+  BOOST_TEST((client.ConfirmedAt() == confirmed));
+  BOOST_TEST((DirectoryOf(client.View()) == StateRevision{5, 10}));
+  BOOST_TEST_CONTEXT("and names it again") {
+    store.era = "5";
+    BOOST_TEST(
+        RunUntil(&pair.loop, [&] { return !client.IsPlatformUnreachable(); }));
+  }
+}
+
+// The store comes back from a copy between the answers of one read. What they
+// say together never was a state of the store, so everything is read again.
+BOOST_AUTO_TEST_CASE(ReadsOfTwoErasAreNotMixed) {
+  struct Case {
+    const char* what;
+    std::string second_page_era;
+    std::string config_era;
+  };
+  const std::vector<Case> cases = {{"between two pages", "2", "2"},
+                                   {"before the configuration", "1", "2"}};
+  for (const Case& item : cases) {
+    BOOST_TEST_CONTEXT(item.what) {
+      StoreFixture fixture;
+      const std::string server =
+          Item("servers/i-1", ServerValue("ready", ""), 8);
+      fixture.store.script = {
+          {"/-/kv-range?prefix=servers/&after=servers/i-1",
+           {{200, ListAt(11), item.second_page_era}}},
+          {"/-/kv-range",
+           {{200,
+             R"({"items":[)" + server +
+                 R"(],"more_pages":true,"current_rev":10})",
+             "1"},
+            {200, ListAt(6), "2"}}},
+          {"/-/kv-key",
+           {{200, Item("op/config", ConfigVersion(7), 5), item.config_era},
+            {200, Item("op/config", ConfigVersion(7), 5), "2"}}},
+      };
+      fixture.store.era = "2";
+      fixture.client.Start(false, BootClock::now());
+      BOOST_TEST_REQUIRE(
+          RunUntil(&fixture.pair.loop, [&] { return fixture.HasWatched(6); }));
+      BOOST_TEST((DirectoryOf(fixture.client.View()) == StateRevision{2, 6}));
+      BOOST_TEST(fixture.client.MakeSnapshot().servers_size() == 0);
+    }
+  }
+}
+
+// A watch that was sent in an earlier era is answered in the present one. Its
+// events begin at a revision of the earlier era, so some may be missing.
+BOOST_FIXTURE_TEST_CASE(WatchOfAnEarlierEraIsNoStep, StoreFixture) {
+  store.era = "1";
+  store.script = {{"/-/kv-range", {{200, ListAt(10)}, {200, ListAt(14), "2"}}},
+                  {"/-/kv-key",
+                   {{200, Item("op/config", ConfigVersion(7), 5)},
+                    {200, Item("op/config", ConfigVersion(8), 9), "2"}}}};
+  client.Start(false, BootClock::now());
+  BOOST_TEST_REQUIRE(
+      RunUntil(&pair.loop, [&] { return store.calls.size() == 4; }));
+  store.era = "2";
+  // The configuration at revision 9 is not among the events after 10.
+  store.AnswerWaiting(R"({"events":[)" +
+                      Item("servers/i-1", ServerValue("ready", ""), 12) +
+                      R"(],"current_rev":14})");
+  BOOST_TEST(RunUntil(&pair.loop, [&] { return ActiveConfigVersion() == 8; }));
+  BOOST_TEST((DirectoryOf(client.View()) == StateRevision{2, 14}));
+}
+
 // After a restart the first list may come from a replica that is seconds old.
 // The node must learn of later changes before any reader has reported to it.
 BOOST_AUTO_TEST_CASE(RestartedNodeCatchesUpByItself) {
--- a/Tests/platform/soak_store.cc
+++ b/Tests/platform/soak_store.cc
@@ -91,8 +91,20 @@
       R"({"key":"%s","value":"%s","revision":%d,"created_rev":1,"lease":0,)"
       R"("current_rev":%d})",
       key, encoded, revision, revision);
-  m_history.push_back(m_items[key]);
-  m_keys.push_back(key);
+  AddChange({key, m_items[key], false}, now);
+}
+
+void SoakStore::Remove(const std::string& key, TimePoint now) {
+  m_items.erase(key);
+  AddChange({key,
+             absl::StrFormat(R"({"key":"%s","revision":%d,"removed":true})",
+                             key, m_history.size() + 1),
+             true},
+            now);
+}
+
+void SoakStore::AddChange(Change change, TimePoint now) {
+  m_history.push_back(std::move(change));
   for (const auto& entry : m_entries) {
     if (entry->service == Service::kServes) AnswerWatches(entry.get(), now);
   }
@@ -108,7 +120,7 @@
                             TimePoint now) {
   std::string events;
   for (size_t i = after; i < m_history.size(); ++i) {
-    events += (events.empty() ? "" : ",") + m_history[i];
+    events += (events.empty() ? "" : ",") + m_history[i].item;
   }
   Respond(session, 200,
           absl::StrFormat(R"({"events":[%s],"current_rev":%d})", events,
@@ -169,9 +181,11 @@
 
 void SoakStore::Restore(uint64_t revision) {
   m_history.resize(revision);
-  m_keys.resize(revision);
   m_items.clear();
-  for (size_t i = 0; i < revision; ++i) m_items[m_keys[i]] = m_history[i];
+  for (const Change& change : m_history) {
+    m_items.erase(change.key);
+    if (!change.removed) m_items[change.key] = change.item;
+  }
   m_oldest_revision = std::min<size_t>(m_oldest_revision, revision);
   ++m_era;
   CutWatches();
--- a/Tests/platform/soak_store.h
+++ b/Tests/platform/soak_store.h
@@ -38,6 +38,7 @@
   // Address at which a node reaches the store.
   SocketAddress EntryOf(size_t node) const;
   void Put(const std::string& key, const std::string& value, TimePoint now);
+  void Remove(const std::string& key, TimePoint now);
 
   // Discards the history up to now; pending watches are cut.
   void ForgetHistory();
@@ -76,6 +77,14 @@
     std::unique_ptr<TcpListener> m_listener;
   };
 
+  struct Change {
+    std::string key;
+    // As JSON.
+    std::string item;
+    bool removed = false;
+  };
+
+  void AddChange(Change change, TimePoint now);
   // Sends an answer with the era.
   void Respond(const HttpResponderPtr& session, int status,
                const std::string& body, TimePoint now) const;
@@ -89,9 +98,8 @@
   EventLoop* m_loop;
   const uint16_t m_port;
   std::map<std::string, std::string> m_items;
-  // The change at revision i + 1 as JSON, and its key.
-  std::vector<std::string> m_history;
-  std::vector<std::string> m_keys;
+  // The change at revision i + 1.
+  std::vector<Change> m_history;
   uint64_t m_era = 1;
   // Watches from an earlier revision get 410.
   size_t m_oldest_revision = 0;
--- a/Tests/relay_fleet.cc
+++ b/Tests/relay_fleet.cc
@@ -71,7 +71,7 @@
   node->relay->ApplyConfig(TestConfig(), now);
   std::vector<ServerRecord> list;
   for (size_t i = 0; i < m_nodes.size(); ++i) list.push_back(RecordOf(i));
-  node->relay->ApplyServers(list, 1, now);
+  node->relay->ApplyServers(list, {0, 1}, now);
 }
 
 ServerRecord RelayFleet::RecordOf(size_t node) const {
@@ -82,7 +82,7 @@
   record.failure_domain = "domain";
   record.slots = kSlots;
   record.started_ms = 1;
-  record.revision = 1;
+  record.revision = {0, 1};
   return record;
 }
 
@@ -90,10 +90,10 @@
   std::vector<ServerRecord> list;
   for (size_t i = 0; i < m_nodes.size(); ++i) {
     list.push_back(RecordOf(i));
-    list.back().revision = revision;
+    list.back().revision = {0, revision};
   }
   for (Node& node : m_nodes) {
-    node.relay->ApplyServers(list, revision, BootClock::now());
+    node.relay->ApplyServers(list, {0, revision}, BootClock::now());
   }
 }
 
--- a/Tests/relay_harness.cc
+++ b/Tests/relay_harness.cc
@@ -403,8 +403,8 @@
   record.service = "work";
   record.address = {kProxyIp, server_port};
   record.slots = 2;
-  record.revision = 1;
-  relay->ApplyServers({record}, 1, now);
+  record.revision = {0, 1};
+  relay->ApplyServers({record}, {0, 1}, now);
 }
 
 void RelayPair::RestartFront() {
@@ -421,7 +421,7 @@
   record.service = "work";
   record.address = {kProxyIp, FreeLoopbackPort()};
   record.slots = 2;
-  record.revision = revision;
+  record.revision = {0, revision};
   front->ApplyServer(record, BootClock::now());
 }
 
--- a/Utilities/fuzz/fuzz_store_values.cc
+++ b/Utilities/fuzz/fuzz_store_values.cc
@@ -39,10 +39,10 @@
       Require(route.max_attempts >= 1);
     }
   }
-  const auto items = platform::DecodeItems(text, &reason);
+  const auto items = platform::DecodeItems(text, 0, &reason);
   if (items) {
-    Require(items->revision <= platform::fields::kStoreRevision.max);
+    Require(items->revision.revision <= platform::fields::kStoreRevision.max);
   }
-  platform::DecodeItem(text, &reason);
+  platform::DecodeItem(text, 0, &reason);
   return 0;
 }
