--- a/Tests/membership_test.cc
+++ b/Tests/membership_test.cc
@@ -93,6 +93,25 @@
   BOOST_TEST(holds);
 }
 
+// The platform's list comes back from a copy in which a member that is leaving
+// stands as live, and one that has failed is still there. Guards against using
+// them again.
+BOOST_AUTO_TEST_CASE(OlderVmListBringsNoMemberBack) {
+  Membership membership = MakeMembership();
+  const std::vector<Member> copy = {MakeEntry("a", 0, 0, MemberState::kLive),
+                                    MakeEntry("b", 0, 0, MemberState::kLive)};
+  membership.OnVmList(copy, TimePoint());
+  ExchangeMessage message;
+  message.from_vm = "peer";
+  message.updates = {MakeEntry("a", 5, 2, MemberState::kLeaving),
+                     MakeEntry("b", 5, 2, MemberState::kFailed)};
+  membership.OnExchange(message, TimePoint());
+  membership.OnVmList({}, TimePoint(seconds(2)));
+  membership.OnVmList(copy, TimePoint(seconds(9)));
+  BOOST_TEST((membership.table().Find("a")->state == MemberState::kLeaving));
+  BOOST_TEST((membership.table().Find("b")->state == MemberState::kFailed));
+}
+
 // Guards against malformed updates entering the table.
 BOOST_AUTO_TEST_CASE(InvalidUpdatesAreCounted) {
   Membership membership = MakeMembership();
--- a/Tests/spread_test.cc
+++ b/Tests/spread_test.cc
@@ -215,6 +215,39 @@
   }));
 }
 
+// The service comes back from a copy of an earlier state. Values are ordered by
+// their versions alone, so guards against reverting, against a restarted node
+// that takes the older value, and against a change that is missed after it.
+BOOST_AUTO_TEST_CASE(ServiceRestoredFromACopy) {
+  for (const bool ignores_reader_version : {false, true}) {
+    BOOST_TEST_CONTEXT(
+        "ignores the reader's version: " << ignores_reader_version) {
+      auto fleet = StartSettledFleet();
+      fleet->Publish(8, "second");
+      fleet->Publish(9, "third");
+      fleet->Run(kChangeBound);
+      BOOST_TEST_REQUIRE(fleet->AllHaveVersion(9));
+      fleet->service.ignores_reader_version = ignores_reader_version;
+      fleet->Publish(7, "first");
+      fleet->Kill(3);
+      fleet->Run(seconds(1));
+      fleet->Start(3);
+      fleet->Run(seconds(15));
+      BOOST_TEST(fleet->AllHaveVersion(9));
+      // What was lost is written again, and a change is made.
+      fleet->Publish(9, "third");
+      fleet->Run(seconds(1));
+      BOOST_TEST(fleet->AllHaveVersion(9));
+      BOOST_TEST(fleet->Sum(&Fleet::Node::conflicts) == 0U);
+      fleet->service.ignores_reader_version = false;
+      fleet->Publish(10, "fourth");
+      // Readers that got the older value again and again wait for up to 20 s.
+      fleet->Run(ignores_reader_version ? seconds(21) : kChangeBound);
+      BOOST_TEST(fleet->AllHaveVersion(10));
+    }
+  }
+}
+
 // Guards against a late answer with an older version replacing a newer value.
 BOOST_AUTO_TEST_CASE(LateOlderAnswer) {
   auto fleet = StartSettledFleet();
