Tests: The store of the soak comes back from copies

The store is away for up to 2.5 s, comes back from a copy of up to 9 s before, and has lost 100 further writes; the operator writes its newest version again within 1 s and the servers theirs within 1.9 s. All checks of the configuration go on.

--- a/Tests/platform/adapter_soak.cc
+++ b/Tests/platform/adapter_soak.cc
@@ -51,6 +51,8 @@
 constexpr size_t kSmallBody = 2000;
 constexpr size_t kLargeBody = 100000;
 constexpr size_t kMediumBody = 5000;
+// Writes that each restore of the store loses, beside those of the copy's age.
+constexpr int kLostWrites = 100;
 // Delay of the soak's own timers after which its times are not trusted.
 constexpr Duration kMaxLag = milliseconds(200);
 constexpr Duration kLagCheckPeriod = milliseconds(50);
@@ -296,14 +298,13 @@
     for (int i = std::max(1, m_version - kKeptRoutes); i <= m_version; ++i) {
       add(VersionRoute(i), "safe", "alpha");
     }
-    m_store.Put("op/config",
-                absl::StrFormat(
-                    R"({"version":%d,"limits":{"max_header_bytes":16384,)"
-                    R"("max_body_bytes":%d,"header_timeout_ms":3000,)"
-                    R"("idle_timeout_ms":15000},"listeners":[{"host":"soak",)"
-                    R"("rules":[%s]}],"clusters":[]})",
-                    m_version, version.max_body_bytes, rules),
-                now);
+    m_config = absl::StrFormat(
+        R"({"version":%d,"limits":{"max_header_bytes":16384,)"
+        R"("max_body_bytes":%d,"header_timeout_ms":3000,)"
+        R"("idle_timeout_ms":15000},"listeners":[{"host":"soak",)"
+        R"("rules":[%s]}],"clusters":[]})",
+        m_version, version.max_body_bytes, rules);
+    m_store.Put("op/config", m_config, now);
     m_history.Add(std::move(version), now);
   }
 
@@ -527,20 +528,36 @@
 
   static const Profile& ProfileOf(uint64_t seed) {
     // All faults, close together.
-    static const Profile kMixed = {
-        {&Soak::Kill, &Soak::Terminate, &Soak::Pause, &Soak::Reset,
-         &Soak::Silence, &Soak::StoreDown, &Soak::Change, &Soak::Drain,
-         &Soak::Terminate, &Soak::Change, &Soak::Hangup, &Soak::StoreTurnsAway,
-         &Soak::StoreConnectionsGoDark, &Soak::StoreForgets, &Soak::NameLimit,
-         &Soak::NameLimit, &Soak::LimitService, &Soak::Leave, &Soak::Leave},
-        50,
-        1500};
+    static const Profile kMixed = {{&Soak::Kill,
+                                    &Soak::Terminate,
+                                    &Soak::Pause,
+                                    &Soak::Reset,
+                                    &Soak::Silence,
+                                    &Soak::StoreDown,
+                                    &Soak::Change,
+                                    &Soak::Drain,
+                                    &Soak::Terminate,
+                                    &Soak::Change,
+                                    &Soak::Hangup,
+                                    &Soak::StoreTurnsAway,
+                                    &Soak::StoreConnectionsGoDark,
+                                    &Soak::StoreForgets,
+                                    &Soak::NameLimit,
+                                    &Soak::NameLimit,
+                                    &Soak::LimitService,
+                                    &Soak::Leave,
+                                    &Soak::Leave,
+                                    &Soak::StoreRestores,
+                                    &Soak::StoreRestores},
+                                   50,
+                                   1500};
     // Faults of some nodes, so that the time bounds hold for the others.
     static const Profile kPartial = {
         {&Soak::Change, &Soak::Change, &Soak::Change, &Soak::Change,
          &Soak::StoreTurnsAway, &Soak::StoreTurnsAway, &Soak::PauseSome,
          &Soak::KillSome, &Soak::StoreConnectionsGoDark, &Soak::StoreForgets,
-         &Soak::NameLimit, &Soak::LimitService, &Soak::Leave},
+         &Soak::NameLimit, &Soak::LimitService, &Soak::Leave,
+         &Soak::StoreRestores},
         100,
         1600};
     return seed % 2 == 0 ? kMixed : kPartial;
@@ -680,6 +697,40 @@
     Change(index, now);
     m_store.ForgetHistory();
   }
+  // The store is away for a moment and comes back from a copy. What the
+  // operator and the servers wrote is written again.
+  void StoreRestores(size_t, TimePoint now) {
+    const Duration away =
+        milliseconds(RandomInt(0, RandomInt(0, 2) == 0 ? 2500 : 500));
+    const Duration age = milliseconds(RandomInt(0, 9000));
+    const uint64_t copy = m_store.RevisionAt(now - age);
+    // Another writer uses up revisions, so that later ones stay below what
+    // nodes knew.
+    for (int i = 0; i < kLostWrites; ++i) m_store.Put("other/key", "x", now);
+    LogEvent(absl::StrFormat(
+        "store away for %.1f s, then back from a copy of %.1f s before (%d of "
+        "%d)",
+        std::chrono::duration<double>(away).count(),
+        std::chrono::duration<double>(age).count(), static_cast<int>(copy),
+        static_cast<int>(m_store.revision())));
+    const TimePoint back = now + away;
+    ExtendUnsettledPeriod(back);
+    m_store_down_until = std::max(m_store_down_until, back);
+    for (size_t i = 0; i < m_nodes.size(); ++i) {
+      FailStoreFor(i, DrawStoreFault(), back);
+    }
+    m_loop.Schedule(back, [this, copy](TimePoint later) {
+      // Another restore may have come first.
+      m_store.Restore(std::min(copy, m_store.revision()));
+      m_loop.Schedule(
+          later + milliseconds(RandomInt(0, 1000)),
+          [this](TimePoint t) { m_store.Put("op/config", m_config, t); });
+      for (size_t i = 0; i < m_nodes.size(); ++i) {
+        m_loop.Schedule(later + milliseconds(RandomInt(0, 1900)),
+                        [this, i](TimePoint t) { PublishServer(i, t); });
+      }
+    });
+  }
   void StoreConnectionsGoDark(size_t index, TimePoint now) {
     LogEvent(absl::StrFormat("store connections of %d go dark",
                              static_cast<int>(index)));
@@ -808,6 +859,8 @@
   uint16_t m_peer_port = 0;
   SoakStore m_store;
   ConfigHistory m_history;
+  // The value of the newest version.
+  std::string m_config;
   NoticeAudit m_notices;
   int m_version = 0;
   TimePoint m_store_down_until;
--- a/Tests/platform/soak_store.cc
+++ b/Tests/platform/soak_store.cc
@@ -91,7 +91,7 @@
       R"({"key":"%s","value":"%s","revision":%d,"created_rev":1,"lease":0,)"
       R"("current_rev":%d})",
       key, encoded, revision, revision);
-  AddChange({key, m_items[key], false}, now);
+  AddChange({key, m_items[key], false, now}, now);
 }
 
 void SoakStore::Remove(const std::string& key, TimePoint now) {
@@ -99,7 +99,7 @@
   AddChange({key,
              absl::StrFormat(R"({"key":"%s","revision":%d,"removed":true})",
                              key, m_history.size() + 1),
-             true},
+             true, now},
             now);
 }
 
@@ -179,6 +179,13 @@
   session->Respond(response, now);
 }
 
+uint64_t SoakStore::RevisionAt(TimePoint time) const {
+  const auto later =
+      std::find_if(m_history.begin(), m_history.end(),
+                   [time](const Change& change) { return change.at > time; });
+  return static_cast<uint64_t>(later - m_history.begin());
+}
+
 void SoakStore::Restore(uint64_t revision) {
   m_history.resize(revision);
   m_items.clear();
--- a/Tests/platform/soak_store.h
+++ b/Tests/platform/soak_store.h
@@ -46,6 +46,8 @@
   // Revisions after that are given out again.
   void Restore(uint64_t revision);
   uint64_t revision() const { return m_history.size(); }
+  // The revision of the state at `time`.
+  uint64_t RevisionAt(TimePoint time) const;
   // The text of the header that names the era, if not the number of the era;
   // empty for no header.
   std::optional<std::string> era_text;
@@ -82,6 +84,7 @@
     // As JSON.
     std::string item;
     bool removed = false;
+    TimePoint at;
   };
 
   void AddChange(Change change, TimePoint now);
