Relay: Let records of a copy count once their lease has passed

A running server whose record had lapsed before a restore, and does not change after it, was not used again until some other record changed (store_restore_test: RecordThatOutlivesItsLeaseCounts failed: nothing in 6 s at a lease of 1.5 s). The directory had noted when the record begins to count, but the timer was not set, since nothing had changed for the moment. What sets the timer is now part of what counts as a change.

Also: a limit that another node knows of counts only for the server that is on the VM now, and the gauge server_rate_limit shows the limit in force.

--- a/Source/relay/call_executor.cc
+++ b/Source/relay/call_executor.cc
@@ -207,8 +207,13 @@
 
 void CallExecutor::OnReportedRate(const relay::Call& call, TimePoint now) {
   if (!call.has_server_rate_limit()) return;
-  // The caller's node may not know of a restart of the server.
-  if (call.server_started_ms() < m_incarnation.started_ms) return;
+  // The caller's node may not know that another server, or another run of it,
+  // is on this VM now.
+  const bool is_known = !m_incarnation.id.empty();
+  if (is_known && (call.server_id() != m_incarnation.id ||
+                   call.server_started_ms() < m_incarnation.started_ms)) {
+    return;
+  }
   const std::optional<double> before = m_rate.rate();
   if (m_rate.OnReport(call.server_rate_limit(), call.server_rate_request(),
                       now)) {
--- a/Source/relay/call_executor.h
+++ b/Source/relay/call_executor.h
@@ -78,6 +78,8 @@
   void OnNestedOverloaded(std::string_view request_id);
 
   PeerLoad Load() const;
+  // Calls a second that the server takes; nullopt if it names no limit.
+  const std::optional<double>& rate_limit() const { return m_rate.rate(); }
   // Calls sent to the server in the last four seconds.
   uint32_t RecentCalls(TimePoint now) { return m_dispatched_calls.Count(now); }
   // Size of the response bodies that are being read from the server.
--- a/Source/relay/relay.cc
+++ b/Source/relay/relay.cc
@@ -369,6 +369,10 @@
   m_metrics.gauges["in_flight"] = load.in_flight;
   m_metrics.gauges["queued"] = load.queued;
   m_metrics.gauges["server_calls_4s"] = m_executor.RecentCalls(now);
+  m_metrics.gauges.erase("server_rate_limit");
+  if (const auto& rate = m_executor.rate_limit()) {
+    m_metrics.gauges["server_rate_limit"] = *rate;
+  }
   m_metrics.gauges["concurrency_limit"] = load.concurrency_limit;
   m_metrics.gauges["config_version"] =
       static_cast<double>(m_router.config_version());
--- a/Source/relay/server_directory.cc
+++ b/Source/relay/server_directory.cc
@@ -44,9 +44,10 @@
     return false;
   }
   if (MayBeCopy(entry, record, now)) {
+    const bool is_known = entry.copy.has_value();
     entry.copy = record;
     entry.copy_counts_at = m_era_began + m_record_lifetime;
-    return false;
+    return !is_known;
   }
   const ServerRecord& old = entry.record;
   const bool changed =
--- a/Source/relay/server_directory.h
+++ b/Source/relay/server_directory.h
@@ -52,9 +52,11 @@
   explicit ServerDirectory(Duration record_lifetime = kDefaultRecordLifetime)
       : m_record_lifetime(record_lifetime) {}
 
-  // Applies one record; false if nothing changed.
+  // Each returns whether Usable() or NextExpiry() may have changed.
+  //
+  // Applies one record.
   bool Apply(const ServerRecord& record, TimePoint now);
-  // Applies the removal of a record at `revision`; false if nothing changed.
+  // Applies the removal of a record at `revision`.
   bool Remove(std::string_view id, const StateRevision& revision,
               TimePoint now);
   // Applies the complete list at `revision`. Returns the number of changes.
--- a/Tests/platform/store_fleet.cc
+++ b/Tests/platform/store_fleet.cc
@@ -13,7 +13,8 @@
 
 }  // namespace
 
-StoreFleet::StoreFleet(size_t nodes) : store(&loop, nodes), m_nodes(nodes) {
+StoreFleet::StoreFleet(size_t nodes, Duration record_lifetime)
+    : store(&loop, nodes), m_nodes(nodes) {
   const uint16_t peer_port = FreeLoopbackPort();
   for (size_t i = 0; i < nodes; ++i) {
     RelaySettings& settings = m_nodes[i].settings;
@@ -30,6 +31,7 @@
     settings.health_listener = {ip, FreeLoopbackPort()};
     settings.server = {ip, FreeLoopbackPort()};
     settings.names = TestNames();
+    settings.record_lifetime = record_lifetime;
     settings.incarnation = 1000 * (i + 1);
     m_nodes[i].server = std::make_unique<FakeServer>(&loop, settings.server);
     PublishServer(i);
--- a/Tests/platform/store_fleet.h
+++ b/Tests/platform/store_fleet.h
@@ -14,7 +14,8 @@
 // each, all in one event loop. The nodes are in two failure domains.
 class StoreFleet {
  public:
-  explicit StoreFleet(size_t nodes);
+  explicit StoreFleet(size_t nodes,
+                      Duration record_lifetime = std::chrono::seconds(6));
 
   // Writes a version of the configuration. Each one has a route /vN/ of its
   // own, and so has each one before it.
--- a/Tests/platform/store_restore_test.cc
+++ b/Tests/platform/store_restore_test.cc
@@ -207,5 +207,24 @@
   BOOST_TEST(!fleet.server(1).arrivals.empty());
 }
 
+// The same, and its record does not change, as the server has nothing else to
+// say. The platform would have dropped the record of a server that has ended.
+BOOST_AUTO_TEST_CASE(RecordThatOutlivesItsLeaseCounts) {
+  StoreFleet fleet(2, milliseconds(1500));
+  fleet.PublishConfig(1);
+  for (size_t i = 0; i < 2; ++i) fleet.Start(i);
+  BOOST_TEST_REQUIRE(fleet.RunUntilInForce(1));
+  const uint64_t copy = fleet.store.revision();
+  fleet.store.Remove("servers/server-1", BootClock::now());
+  RunFor(&fleet.loop, milliseconds(1500));
+  fleet.store.Restore(copy);
+  for (int i = 0; i < 300 && fleet.server(1).arrivals.empty(); ++i) {
+    const auto call = fleet.Send(1, "/v1/ok", "r" + std::to_string(i));
+    BOOST_TEST_REQUIRE(RunUntil(&fleet.loop, [&] { return call->is_over; }));
+    RunFor(&fleet.loop, milliseconds(20));
+  }
+  BOOST_TEST(!fleet.server(1).arrivals.empty());
+}
+
 }  // namespace
 }  // namespace vanillatiller::platform
