Relay: Name what tells that the list is available again after an outage

ServerDirectory: OnSourceRestored -> OnSourceAvailable, as a store that is restored from a copy is something else. No change of behaviour. Wording of two test comments; braces that the linter asks for.

--- a/Source/relay/relay.cc
+++ b/Source/relay/relay.cc
@@ -144,10 +144,12 @@
   if (HasRoutesAndServers()) m_router.StartServing(now);
 }
 
-void Relay::OnPlatformBack(TimePoint now) { m_directory.OnSourceRestored(now); }
+void Relay::OnPlatformBack(TimePoint now) {
+  m_directory.OnSourceAvailable(now);
+}
 
 void Relay::OnPlatformRestored(TimePoint now) {
-  m_directory.OnSourceRestored(now);
+  m_directory.OnSourceAvailable(now);
   m_router.OnSourceRestored(now);
 }
 
--- a/Source/relay/server_directory.cc
+++ b/Source/relay/server_directory.cc
@@ -126,7 +126,7 @@
          m_leaving.Contains(server.id, found->second.record.started_ms);
 }
 
-void ServerDirectory::OnSourceRestored(TimePoint now) {
+void ServerDirectory::OnSourceAvailable(TimePoint now) {
   m_renewal_deadline = now + kRenewalGrace;
 }
 
--- a/Source/relay/server_directory.h
+++ b/Source/relay/server_directory.h
@@ -68,7 +68,7 @@
   // may receive work is affected.
   bool MarkLeaving(const ServerIncarnation& server, TimePoint now);
   // The platform's list is readable again after an outage.
-  void OnSourceRestored(TimePoint now);
+  void OnSourceAvailable(TimePoint now);
 
   // Time in which servers renew expired records after an outage of the list:
   // two seconds according to the platform's documentation, plus the delay of
--- a/Tests/leaving_server_test.cc
+++ b/Tests/leaving_server_test.cc
@@ -137,7 +137,7 @@
 }
 
 // A node that has not called the server yet, or whose node beside the server
-// has restarted, learns of it no later than with its first call.
+// has restarted, is told no later than with its first call.
 BOOST_AUTO_TEST_CASE(OtherNodesSendNoSecondRequest) {
   RelayFleet fleet({"work", "work", "rest", "rest"});
   fleet.server(0).notice = {{"Test-Leaving", "1"}};
@@ -190,7 +190,7 @@
           directory.ApplyList({record}, {0, revision}, now);
           break;
         case 3:
-          directory.OnSourceRestored(now);
+          directory.OnSourceAvailable(now);
           break;
         default:
           directory.Apply(record, now);
--- a/Tests/platform/platform_test.cc
+++ b/Tests/platform/platform_test.cc
@@ -188,7 +188,7 @@
     BOOST_TEST_CONTEXT(item.what) {
       std::string reason;
       const auto record =
-          DecodeServer({"servers/i-1", item.value, 5, false}, &reason);
+          DecodeServer({"servers/i-1", item.value, {0, 5}, false}, &reason);
       BOOST_TEST(record.has_value() == item.is_server);
       if (record) BOOST_TEST(record->id == "i-1");
     }
--- a/Tests/platform/store_restore_test.cc
+++ b/Tests/platform/store_restore_test.cc
@@ -24,7 +24,7 @@
     for (int i = 0; i < 20; ++i) fleet.PublishServer(0);
     fleet.PublishConfig(3);
     BOOST_TEST_REQUIRE(fleet.RunUntilInForce(3));
-    // Most nodes learn of changes from readers by now.
+    // Readers report changes to most nodes by now.
     RunFor(&fleet.loop, milliseconds(2500));
   }
 
--- a/Tests/server_directory_test.cc
+++ b/Tests/server_directory_test.cc
@@ -66,7 +66,7 @@
   ServerDirectory directory;
   directory.Apply(MakeRecord("a", 1, 1, 9001), kStart);
   directory.Apply(MakeRecord("b", 2, 1, 9002), kStart);
-  directory.OnSourceRestored(kStart);
+  directory.OnSourceAvailable(kStart);
   directory.ApplyList({}, {0, 10}, kStart + milliseconds(10));
   BOOST_TEST(UsableIds(directory, kStart + seconds(1)) == "a,b");
   BOOST_TEST(directory.Apply(MakeRecord("a", 11, 1, 9001),
@@ -184,7 +184,7 @@
   ServerRecord record = MakeRecord("a", 12);
   record.revision.era = 1;
   directory.ApplyList({record}, {1, 12}, kStart);
-  directory.OnSourceRestored(kStart);
+  directory.OnSourceAvailable(kStart);
   directory.ApplyList({}, {2, 8}, kStart);
   BOOST_TEST(UsableIds(directory, kStart + seconds(2)) == "a");
   BOOST_TEST(UsableIds(directory, kStart + seconds(3)) == "");
