Relay: Keep what an answer says of its server as a flag and a value

GCC 12 with the sanitizers' options reports the optional of a struct with a string as possibly uninitialized in CallResult (a warning, an error here), so the sanitizer build failed. The flag stands beside has_load, which is kept the same way. The order of the checks in ClassifyExchange is the same; relay_decisions_test: ClassifiesExchanges holds. The tests of relay, eventio and platform, and those of limits, marks and restores pass under the address and undefined-behaviour sanitizers.

--- a/Source/relay/call_executor.cc
+++ b/Source/relay/call_executor.cc
@@ -140,7 +140,7 @@
   if (found == m_calls.end()) return;
   ReturnSession(std::exchange(found->second.session, nullptr), now);
   CallResult result = ClassifyExchange(std::move(exchange), *m_names);
-  if (result.notice) OnNotice(found->second, *result.notice, now);
+  if (result.has_notice) OnNotice(found->second, result.notice, now);
   Finish(handle, std::move(result), now);
 }
 
--- a/Source/relay/call_result.h
+++ b/Source/relay/call_result.h
@@ -2,7 +2,6 @@
 #define VANILLATILLER_SOURCE_RELAY_CALL_RESULT_H_
 
 #include <cstdint>
-#include <optional>
 
 #include "base/base.h"
 #include "eventio/eventio.h"
@@ -32,9 +31,10 @@
   // A nested call of this call was refused by an overloaded service, so a retry
   // on another server would fail in the same way.
   bool overload_below = false;
-  // Set on the server's own node for every answer that is known to be the
-  // server's, whatever its outcome.
-  std::optional<ServerNotice> notice;
+  // Valid if `has_notice`, which is set on the server's own node for every
+  // answer that is known to be the server's, whatever its outcome.
+  bool has_notice = false;
+  ServerNotice notice;
 };
 
 relay::Answer EncodeAnswer(uint64_t id, const CallResult& result);
--- a/Source/relay/server_answer.cc
+++ b/Source/relay/server_answer.cc
@@ -16,12 +16,10 @@
          status == 503;
 }
 
-CallResult MakeFailure(Outcome outcome, RefusalCode code,
-                       std::optional<ServerNotice> notice = std::nullopt) {
+CallResult MakeFailure(Outcome outcome, RefusalCode code) {
   CallResult result;
   result.outcome = outcome;
   result.code = code;
-  result.notice = std::move(notice);
   return result;
 }
 
@@ -42,24 +40,22 @@
   if (response.status == kMisdirected) {
     return MakeFailure(Outcome::kNotRun, RefusalCode::kUnknownIncarnation);
   }
-  ServerNotice notice = ReadServerNotice(response.headers, names);
-  if (response.headers.Find(names.not_run)) {
-    return MakeFailure(Outcome::kNotRun, RefusalCode::kBackendRefused,
-                       std::move(notice));
-  }
-  // Without the not-run field the request may have run, whatever the status.
-  if (ClaimsNotRun(response.status)) {
-    return MakeFailure(Outcome::kUnknown, RefusalCode::kBackendRefused,
-                       std::move(notice));
-  }
-  if (IsSuccess(response.status) &&
+  const bool was_refused = response.headers.Find(names.not_run).has_value();
+  if (!was_refused && IsSuccess(response.status) &&
       (!response.headers.Find(names.answer_digest) ||
        response.headers.Find("content-encoding"))) {
     return MakeFailure(Outcome::kUnknown, RefusalCode::kIncompleteAnswer);
   }
   CallResult result;
+  result.has_notice = true;
+  result.notice = ReadServerNotice(response.headers, names);
+  if (was_refused || ClaimsNotRun(response.status)) {
+    // Without the not-run field the request may have run, whatever the status.
+    result.outcome = was_refused ? Outcome::kNotRun : Outcome::kUnknown;
+    result.code = RefusalCode::kBackendRefused;
+    return result;
+  }
   result.outcome = Outcome::kComplete;
-  result.notice = std::move(notice);
   result.response = std::move(response);
   result.response.headers.RemoveConnectionFields();
   // The caller's node knows the request ID, and traffic between nodes is
