Relay: Send a version that the store lost to nodes that start in the new era

A node that reads everything after a restore has the copy's version. The later one, in force elsewhere, is in no change of the present era, so subscriptions did not bring it; only answers between nodes showed that the node was behind.

--- a/Source/relay/fleet_state_exchange.cc
+++ b/Source/relay/fleet_state_exchange.cc
@@ -48,9 +48,7 @@
       break;
     case relay::Frame::kSnapshotRequest:
       if (IsNewer(m_store->View(), frame.snapshot_request().view())) {
-        relay::Frame answer;
-        *answer.mutable_snapshot() = m_store->MakeSnapshot();
-        reply(answer);
+        SendSnapshot(reply);
       }
       break;
     case relay::Frame::kSnapshot:
@@ -141,11 +139,23 @@
   subscriber.revision = DirectoryOf(subscribe.view());
   subscriber.wants_changes = subscribe.wants_changes();
   if (is_new) UpdateReadMode(now);
-  if (is_new || subscriber.revision < DirectoryOf(m_store->View())) {
+  const relay::View own = m_store->View();
+  if (is_new || subscriber.revision < DirectoryOf(own)) {
     Report(&subscriber, true, now);
+    return;
+  }
+  // A version that the store lost is in no change of the present era.
+  if (own.config_version() > subscribe.view().config_version()) {
+    SendSnapshot(reply);
   }
 }
 
+void FleetStateExchange::SendSnapshot(const Reply& reply) const {
+  relay::Frame frame;
+  *frame.mutable_snapshot() = m_store->MakeSnapshot();
+  reply(frame);
+}
+
 void FleetStateExchange::Report(Subscriber* subscriber, bool with_changes,
                                 TimePoint now) {
   const StateRevision revision = DirectoryOf(m_store->View());
@@ -172,9 +182,7 @@
       feed->set_from_revision(known.revision);
       AddChanges(known, feed);
     } else {
-      relay::Frame snapshot;
-      *snapshot.mutable_snapshot() = m_store->MakeSnapshot();
-      subscriber->send(snapshot);
+      SendSnapshot(subscriber->send);
     }
   }
   subscriber->send(frame);
--- a/Source/relay/fleet_state_exchange.h
+++ b/Source/relay/fleet_state_exchange.h
@@ -100,6 +100,7 @@
   // Sends a report with the changes that the subscriber does not know yet, or
   // without them.
   void Report(Subscriber* subscriber, bool with_changes, TimePoint now);
+  void SendSnapshot(const Reply& reply) const;
   void AddChanges(const StateRevision& since, relay::Feed* feed) const;
   void RememberChanges(const FleetStateChanges& changes);
   void UpdateProviders(TimePoint now);
--- a/Tests/fleet_state_test.cc
+++ b/Tests/fleet_state_test.cc
@@ -697,6 +697,54 @@
   BOOST_TEST((fleet.node(follower).ConfirmedAt() == TimePoint{}));
 }
 
+// The store lost a version with the restore, and a node that has read
+// everything since has the one before. The changes of the present era do not
+// hold it, so a reader that has the later one must send a snapshot.
+BOOST_AUTO_TEST_CASE(LostVersionReachesNodesThatStartInTheEra) {
+  struct Store : FleetStateStore {
+    bool IsPlatformUnreachable() const override { return false; }
+    relay::View View() const override {
+      relay::View view;
+      SetDirectory({2, 5}, &view);
+      view.set_config_version(3);
+      return view;
+    }
+    relay::Snapshot MakeSnapshot() const override { return {}; }
+    void ApplySnapshot(const relay::Snapshot&, TimePoint) override {}
+  };
+  struct Transport : FleetStateTransport {
+    void SendToNode(const SocketAddress&, const relay::Frame&) override {}
+    bool KeepConnected(const SocketAddress&, TimePoint) override {
+      return true;
+    }
+    std::vector<SocketAddress> ConnectedNodes() const override { return {}; }
+  };
+  EventLog log(-1, "test");
+  Store store;
+  Transport transport;
+  FleetStateExchange exchange(MakeNode(0), 1, &transport, &log);
+  exchange.SetStore(&store);
+  for (const uint64_t version : {1U, 3U}) {
+    BOOST_TEST_CONTEXT("subscriber with version " << version) {
+      size_t snapshots = 0;
+      relay::Frame frame;
+      frame.mutable_subscribe()->set_incarnation(2);
+      SetDirectory({2, 5}, frame.mutable_subscribe()->mutable_view());
+      frame.mutable_subscribe()->mutable_view()->set_config_version(version);
+      // The first subscription is reported to in any case.
+      for (int i = 0; i < 2; ++i) {
+        exchange.OnFrame(
+            frame,
+            [&snapshots](const relay::Frame& reply) {
+              snapshots += reply.has_snapshot() ? 1 : 0;
+            },
+            kStart);
+      }
+      BOOST_TEST(snapshots == (version == 1 ? 1U : 0U));
+    }
+  }
+}
+
 // A frozen or cut off provider's last report must not count for longer than
 // what it confirmed.
 BOOST_AUTO_TEST_CASE(ConfirmationsEndWithTheirAge) {
