Admission, Relay: Send a waiting call when the server takes the next one

A call that waits for a server's limit was sent with the next event or tick of its node, up to 200 ms late at a node with little to do, and refused if it had expired by then, although the server could have taken it. The executor sets a timer for the time that Admission names. rate_limit_test: TimeOfTheNextCallIsKnown.

--- a/Source/admission/admission.cc
+++ b/Source/admission/admission.cc
@@ -538,6 +538,13 @@
   ThresholdController::OnTick(impl.queue, &impl.flows);
 }
 
+std::optional<TimePoint> Admission::NextRateDispatch(TimePoint now) const {
+  if (m_impl->queue.empty() || m_impl->rate_limit.Allows(now)) {
+    return std::nullopt;
+  }
+  return now + m_impl->rate_limit.TimeFor(1, now);
+}
+
 void Admission::OnBackendRestarted(TimePoint now) {
   m_impl->limit.BeginColdStart(now);
 }
--- a/Source/admission/admission.h
+++ b/Source/admission/admission.h
@@ -105,6 +105,10 @@
   // Must be called every 5 to 20 ms.
   void OnTick(TimePoint now, AdmissionActions* actions);
 
+  // When the rate limit lets the next queued call through; nullopt if no call
+  // waits for it. OnTick() should be called then.
+  std::optional<TimePoint> NextRateDispatch(TimePoint now) const;
+
   // Reports a restart of the backend server; the limit ramps up again.
   void OnBackendRestarted(TimePoint now);
 
--- a/Source/relay/call_executor.cc
+++ b/Source/relay/call_executor.cc
@@ -34,6 +34,7 @@
 }
 
 CallExecutor::~CallExecutor() {
+  m_loop->Cancel(&m_rate_timer);
   for (auto& [handle, local] : m_calls) {
     m_loop->Cancel(&local.timer);
     if (local.session) local.session->Abort();
@@ -83,6 +84,17 @@
     refusal.expected_wait = m_admission->State().drain_time;
     Finish(refuse.id, std::move(refusal), now);
   }
+  ScheduleRateDispatch(now);
+}
+
+void CallExecutor::ScheduleRateDispatch(TimePoint now) {
+  if (m_rate_timer != 0) return;
+  const auto next = m_admission->NextRateDispatch(now);
+  if (!next) return;
+  m_rate_timer = m_loop->Schedule(*next, [this](TimePoint later) {
+    m_rate_timer = 0;
+    Tick(later);
+  });
 }
 
 CallResult CallExecutor::MakeRefusal(RefusalCode code) {
--- a/Source/relay/call_executor.h
+++ b/Source/relay/call_executor.h
@@ -107,6 +107,8 @@
   // Returns the running call that is the parent of `request_id`.
   std::optional<Handle> FindParentHandle(std::string_view request_id) const;
   void ApplyActions(AdmissionActions* actions, TimePoint now);
+  // Sets the timer for the next call that the server's rate limit lets through.
+  void ScheduleRateDispatch(TimePoint now);
   void Run(Handle handle, TimePoint now);
   void OnExchange(Handle handle, ExchangeResult exchange, TimePoint now);
   void Finish(Handle handle, CallResult result, TimePoint now);
@@ -164,6 +166,8 @@
   // said so first.
   std::optional<ServerIncarnation> m_leaving;
   std::string m_leaving_request;
+  // Fires when the limit lets the next queued call through.
+  TimerId m_rate_timer = 0;
   // The last value that could not be read, which is logged once.
   std::string m_unreadable_notice;
   std::function<void(TimePoint now)> m_notice_listener;
--- a/Tests/rate_limit_test.cc
+++ b/Tests/rate_limit_test.cc
@@ -11,6 +11,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <variant>
 #include <vector>
 
 #include "admission/admission.h"
@@ -230,6 +231,29 @@
   BOOST_TEST((counts.longest_wait <= milliseconds(520)));
 }
 
+// A call that waits for the limit must be sent when the server takes the next
+// one, also if nothing else happens at its node before the call expires.
+BOOST_AUTO_TEST_CASE(TimeOfTheNextCallIsKnown) {
+  for (const double rate : {4.0, 10.0, 50.0}) {
+    BOOST_TEST_CONTEXT(rate << " a second") {
+      auto admission = BuildAdmission(8, kStart);
+      AdmissionActions actions;
+      BOOST_TEST(!admission->NextRateDispatch(kStart).has_value());
+      admission->SetRateLimit(rate, kStart, &actions);
+      admission->Offer(MakeWork(1, 1, kStart), kStart, &actions);
+      BOOST_TEST(actions.empty());
+      const auto next = admission->NextRateDispatch(kStart);
+      BOOST_TEST_REQUIRE(next.has_value());
+      // The timer of the node is late at most by this.
+      const TimePoint tick = *next + milliseconds(5);
+      admission->OnTick(tick, &actions);
+      BOOST_TEST_REQUIRE(actions.size() == 1U);
+      BOOST_TEST(std::holds_alternative<Dispatch>(actions[0]));
+      BOOST_TEST(!admission->NextRateDispatch(tick).has_value());
+    }
+  }
+}
+
 // Queued calls for which a new limit leaves no room are refused at once, so
 // that they can go elsewhere.
 BOOST_AUTO_TEST_CASE(NewLimitRefusesWhatNoLongerFits) {
