--- a/review/stand_ins_2/kit.cc
+++ b/review/stand_ins_2/kit.cc
@@ -402,7 +402,7 @@
 }
 
 Server::Server(std::string id, std::string service, const std::string& ip,
-               uint16_t port, int slots, Work work)
+               uint16_t port, int slots, Work work, int clock_ms)
     : m_id(std::move(id)),
       m_service(std::move(service)),
       m_address(ip + ":" + std::to_string(port)),
@@ -410,7 +410,8 @@
       m_born(static_cast<uint64_t>(
           std::chrono::duration_cast<std::chrono::milliseconds>(
               std::chrono::system_clock::now().time_since_epoch())
-              .count())),
+              .count() +
+          clock_ms)),
       m_work(std::move(work)) {
   m_listener = std::make_unique<Listener>(
       ip, port, [this](Socket* socket) { Serve(socket); });
@@ -639,17 +640,6 @@
   return true;
 }
 
-bool Fleet::IsReader(int machine) {
-  std::ifstream file(m_directory + "/node-" + std::to_string(machine) + ".log");
-  std::string line;
-  bool is_reader = true;
-  while (std::getline(file, line)) {
-    if (line.find("event=read-mode") == std::string::npos) continue;
-    is_reader = line.find("reads=yes") != std::string::npos;
-  }
-  return is_reader;
-}
-
 double Fleet::MemoryMb(int machine) {
   std::ifstream file("/proc/" + std::to_string(m_pids[machine]) + "/status");
   std::string line;
--- a/review/stand_ins_2/kit.h
+++ b/review/stand_ins_2/kit.h
@@ -157,8 +157,9 @@
 class Server {
  public:
   using Work = std::function<std::string(const Arrival&)>;
+  // `clock_ms`: how far the clock of its machine is ahead.
   Server(std::string id, std::string service, const std::string& ip,
-         uint16_t port, int slots, Work work);
+         uint16_t port, int slots, Work work, int clock_ms = 0);
 
   const std::string& id() const { return m_id; }
   // The entry in the store.
@@ -228,8 +229,6 @@
   bool IsReady(int machine);
   // Waits until all machines are ready.
   bool WaitUntilReady(double ms);
-  // Whether the process reads the store itself, by its log.
-  bool IsReader(int machine);
   // Resident memory in MB.
   double MemoryMb(int machine);
 
