--- a/Source/base/reason.cc
+++ b/Source/base/reason.cc
@@ -34,6 +34,7 @@
     "backend-refused",
     "fenced",
     "rate-limited",
+    "no-memory",
 });
 static_assert(kRefusalNames.size() ==
               static_cast<size_t>(kLastRefusalCode) + 1);
--- a/Source/base/reason.h
+++ b/Source/base/reason.h
@@ -48,10 +48,12 @@
   kFenced = 25,
   // The backend server takes no more calls a second.
   kRateLimited = 26,
+  // The memory for what is held for others is used up.
+  kNoMemory = 27,
 };
 
 // Last refusal code; codes above it are unknown to this version.
-inline constexpr RefusalCode kLastRefusalCode = RefusalCode::kRateLimited;
+inline constexpr RefusalCode kLastRefusalCode = RefusalCode::kNoMemory;
 
 // Why an operation gave no value. Functions that return std::optional fill it
 // in through a pointer argument when they return nullopt.
--- a/Source/eventio/event_loop.h
+++ b/Source/eventio/event_loop.h
@@ -10,6 +10,7 @@
 #include <utility>
 
 #include "base/base.h"
+#include "eventio/byte_budget.h"
 
 namespace vanillatiller {
 
@@ -38,6 +39,9 @@
   // Calls `task` whenever the process receives `signal`.
   void OnSignal(int signal, Task task);
 
+  // What the connections of this loop hold.
+  ByteBudget& memory() { return m_memory; }
+
   uv_loop_t* raw() { return &m_loop; }
   // One buffer serves all reads, because each read is consumed before the
   // next one starts.
@@ -53,6 +57,8 @@
 
   static constexpr size_t kReadBufferBytes = size_t{64} << 10;
 
+  // Must outlive all that is counted in it.
+  ByteBudget m_memory;
   uv_loop_t m_loop;
   uv_timer_t m_timer;
   std::string m_buffer;
--- a/Source/eventio/eventio.h
+++ b/Source/eventio/eventio.h
@@ -11,6 +11,7 @@
 #include "eventio/http_message.h"         // IWYU pragma: export
 #include "eventio/http_reader.h"          // IWYU pragma: export
 #include "eventio/http_server_session.h"  // IWYU pragma: export
+#include "eventio/http_session_pool.h"    // IWYU pragma: export
 #include "eventio/response_order.h"       // IWYU pragma: export
 #include "eventio/tcp_connection.h"       // IWYU pragma: export
 
--- a/Source/eventio/http_client_session.cc
+++ b/Source/eventio/http_client_session.cc
@@ -33,14 +33,21 @@
 HttpClientSession::HttpClientSession(EventLoop* loop,
                                      const SocketAddress& address,
                                      std::string id_header,
-                                     HttpReader::Limits limits)
+                                     HttpReader::Limits limits, ByteUse use)
     : m_loop(loop),
       m_address(address),
       m_id_header(std::move(id_header)),
-      m_reader(HttpReader::Kind::kResponses, limits) {}
+      m_reader(HttpReader::Kind::kResponses, limits,
+               ByteCharge(&loop->memory(), use)) {}
 
 void HttpClientSession::Send(const HttpRequest& request, Done done,
                              TimePoint now) {
+  Send(request, Hold(request.body, &m_loop->memory(), ByteUse::kOutput),
+       std::move(done), now);
+}
+
+void HttpClientSession::Send(const HttpRequest& request, HeldBytesPtr body,
+                             Done done, TimePoint now) {
   m_done = std::move(done);
   ++m_exchanges;
   m_skipped_responses = 0;
@@ -48,13 +55,18 @@
   m_request_id =
       m_id_header.empty() ? "" : request.headers.Find(m_id_header).value_or("");
   if (!m_request_id.empty()) m_carried_ids.push_back(HashId(m_request_id));
-  std::string text = FormatRequest(request);
+  const size_t body_bytes = body ? body->size() : 0;
+  m_unsent_head = FormatRequestHead(request, body_bytes);
+  if (body_bytes > kMaxJoinedBytes) {
+    m_unsent_body = std::move(body);
+  } else if (body_bytes > 0) {
+    m_unsent_head += body->text();
+  }
   if (m_connection && m_connection->IsOpen()) {
     m_reusable = false;
-    m_connection->Write(std::move(text));
+    WriteUnsent();
     return;
   }
-  m_unsent_request = std::move(text);
   m_connection = TcpConnection::Connect(m_loop, m_address, this);
   m_connect_timer = m_loop->Schedule(
       now + kConnectTimeout, [weak = weak_from_this()](TimePoint later) {
@@ -67,7 +79,12 @@
 
 void HttpClientSession::OnConnected(TimePoint) {
   m_loop->Cancel(&m_connect_timer);
-  m_connection->Write(std::exchange(m_unsent_request, {}));
+  WriteUnsent();
+}
+
+void HttpClientSession::WriteUnsent() {
+  m_connection->Write(std::exchange(m_unsent_head, {}));
+  if (m_unsent_body) m_connection->Write(std::exchange(m_unsent_body, {}));
 }
 
 void HttpClientSession::OnData(std::string_view data, TimePoint now) {
@@ -88,6 +105,7 @@
         Fail(ExchangeEnd::kNoAnswer, now);
         return;
       case HttpReader::Result::kTooLarge:
+      case HttpReader::Result::kNoMemory:
         Fail(ExchangeEnd::kTooLarge, now);
         return;
     }
@@ -150,7 +168,7 @@
 
 void HttpClientSession::OnEnd(ConnectionEnd end, TimePoint now) {
   const std::shared_ptr<HttpClientSession> self = shared_from_this();
-  const bool was_sent = m_unsent_request.empty();
+  const bool was_sent = m_unsent_head.empty();
   m_connection.reset();
   m_reusable = false;
   m_loop->Cancel(&m_connect_timer);
--- a/Source/eventio/http_client_session.h
+++ b/Source/eventio/http_client_session.h
@@ -41,14 +41,20 @@
 
   // `id_header` names the request header that the server echoes; see
   // MatchResponse(). If empty, responses are not matched. A response beyond
-  // `limits` ends the exchange and the connection.
+  // `limits` ends the exchange and the connection. Responses that are being
+  // read are counted as `use`.
   HttpClientSession(EventLoop* loop, const SocketAddress& address,
-                    std::string id_header, HttpReader::Limits limits = {});
+                    std::string id_header, HttpReader::Limits limits = {},
+                    ByteUse use = ByteUse::kServerAnswer);
   ~HttpClientSession() override { Close(); }
 
   // Sends `request`, connecting first if necessary. `done` is called once
   // unless Abort() is called first.
   void Send(const HttpRequest& request, Done done, TimePoint now);
+  // The same with a body that others share; that of `request` is ignored. Null
+  // stands for an empty body.
+  void Send(const HttpRequest& request, HeldBytesPtr body, Done done,
+            TimePoint now);
   // Closes the connection without reporting the result of a pending exchange.
   void Abort();
 
@@ -77,6 +83,7 @@
   void Fail(ExchangeEnd end, TimePoint now);
   void Finish(ExchangeResult result, TimePoint now);
   void Close();
+  void WriteUnsent();
   void UpdateReuseDeadline(const ParsedMessage& message, TimePoint now);
 
   // Responses that are skipped in one exchange: interim responses and late
@@ -85,6 +92,8 @@
   // Requests with an ID that a connection carries at most, which bounds the
   // memory for their IDs.
   static constexpr size_t kMaxCarriedIds = 256;
+  // Bodies up to this size are written together with their head.
+  static constexpr size_t kMaxJoinedBytes = size_t{16} << 10;
   // Timeout for establishing a connection.
   static constexpr Duration kConnectTimeout = std::chrono::seconds(1);
   // Idle time after which a connection is not reused if the server sends no
@@ -100,7 +109,9 @@
   const std::string m_id_header;
   std::shared_ptr<TcpConnection> m_connection;
   HttpReader m_reader;
-  std::string m_unsent_request;
+  // Head, with a small body, and a larger body; empty once sent.
+  std::string m_unsent_head;
+  HeldBytesPtr m_unsent_body;
   std::string m_request_id;
   Done m_done;
   uint32_t m_exchanges = 0;
--- a/Source/eventio/http_message.cc
+++ b/Source/eventio/http_message.cc
@@ -83,19 +83,18 @@
   for (const std::string_view name : kConnectionFields) Remove(name);
 }
 
-std::string FormatRequest(const HttpRequest& request) {
+std::string FormatRequestHead(const HttpRequest& request, size_t body_bytes) {
   std::string text;
-  text.reserve(512 + request.body.size());
+  text.reserve(512);
   text += request.method;
   text += ' ';
   text += request.target;
   text += " HTTP/1.1\r\n";
   AppendFields(request.headers, &text);
-  if (!request.body.empty() || ExpectsBody(request.method)) {
-    AppendLength(request.body.size(), &text);
+  if (body_bytes > 0 || ExpectsBody(request.method)) {
+    AppendLength(body_bytes, &text);
   }
   text += "\r\n";
-  text += request.body;
   return text;
 }
 
--- a/Source/eventio/http_message.h
+++ b/Source/eventio/http_message.h
@@ -26,6 +26,8 @@
   void RemoveConnectionFields();
 
   const std::vector<HttpHeader>& fields() const { return m_fields; }
+  // Memory of the list of fields without their texts, in bytes.
+  size_t ListBytes() const { return m_fields.capacity() * sizeof(HttpHeader); }
 
  private:
   friend class HttpReader;
@@ -46,9 +48,9 @@
   std::string body;
 };
 
-// Serializes a request. Content-Length is added if there is a body or the
-// method normally has one.
-std::string FormatRequest(const HttpRequest& request);
+// Serializes the head of a request whose body has `body_bytes` bytes.
+// Content-Length is added if there is a body or the method normally has one.
+std::string FormatRequestHead(const HttpRequest& request, size_t body_bytes);
 // Serializes a response. `has_body` is false for responses to HEAD requests.
 std::string FormatResponse(const HttpResponse& response, bool keep_alive,
                            bool has_body);
--- a/Source/eventio/http_reader.cc
+++ b/Source/eventio/http_reader.cc
@@ -7,7 +7,15 @@
 namespace {
 
 // Return value of the on_headers_complete callback that aborts parsing.
-constexpr int kInvalidHeaders = -1;
+constexpr int kAbort = -1;
+// Bytes of a field as sent that the parser does not report: the colon and the
+// end of the line.
+constexpr size_t kFieldFraming = 3;
+// Memory that a text of the head takes at most, relative to its size: a string
+// that grows has up to twice the size, and the allocator adds a header.
+constexpr size_t kMemoryOfText = 3;
+// Part of its size by which a body grows while memory is short.
+constexpr size_t kSmallGrowthDivisor = 8;
 
 // The parser accepts spaces in field names. Other parsers strip them or end the
 // name there (RFC 9112, 5.1), so such messages are rejected.
@@ -22,8 +30,8 @@
 
 }  // namespace
 
-HttpReader::HttpReader(Kind kind, Limits limits)
-    : m_kind(kind), m_limits(limits) {
+HttpReader::HttpReader(Kind kind, Limits limits, ByteCharge charge)
+    : m_kind(kind), m_limits(limits), m_uncharged(std::move(charge)) {
   http_parser_init(&m_parser,
                    kind == Kind::kRequests ? HTTP_REQUEST : HTTP_RESPONSE);
   m_parser.data = this;
@@ -59,6 +67,7 @@
     return Result::kMessage;
   }
   if (m_too_large) return Result::kTooLarge;
+  if (m_no_memory) return Result::kNoMemory;
   if (HTTP_PARSER_ERRNO(&m_parser) != HPE_OK || m_parser.upgrade != 0) {
     return Result::kError;
   }
@@ -66,6 +75,9 @@
   // The parser skips empty lines before a message without a limit.
   m_skipped_bytes = m_in_message ? 0 : m_skipped_bytes + read;
   m_message_bytes += read;
+  if (m_in_message && !m_headers_complete && !TakeMemory(0)) {
+    return m_too_large ? Result::kTooLarge : Result::kNoMemory;
+  }
   return m_skipped_bytes > m_limits.max_header_bytes || HasTooMuchFraming()
              ? Result::kTooLarge
              : Result::kNeedsMore;
@@ -90,21 +102,55 @@
 ParsedMessage HttpReader::Take() {
   m_in_message = false;
   m_headers_complete = false;
-  ReturnBodyBytes();
   return std::exchange(m_message, {});
 }
 
-bool HttpReader::TakeBodyBytes(size_t size) {
-  if (m_message.body.size() + size > m_limits.max_body_bytes) return false;
-  if (m_limits.body_budget == nullptr) return true;
-  if (!m_limits.body_budget->TryTake(size)) return false;
-  m_budgeted_bytes += size;
+void HttpReader::Discard() {
+  m_message = {};
+  m_in_message = false;
+}
+
+size_t HttpReader::HeadMemory() const {
+  return kMemoryOfText * m_header_bytes + m_message.headers.ListBytes();
+}
+
+bool HttpReader::TakeMemory(size_t body_capacity) {
+  const size_t bytes = HeadMemory() + body_capacity;
+  if (m_kind == Kind::kResponses) {
+    m_no_memory = !m_message.charge.TryResize(bytes);
+    return !m_no_memory;
+  }
+  const bool is_ordinary = bytes <= ByteBudget::kOrdinaryBytes;
+  m_no_memory = !m_message.charge.TryResize(
+      is_ordinary ? ByteUse::kOrdinaryRequest : ByteUse::kLargeRequest, bytes);
+  // It will not fit later either.
+  m_too_large = m_no_memory && m_message.charge.ExceedsBudget(bytes);
+  return !m_no_memory;
+}
+
+bool HttpReader::GrowBody(size_t size) {
+  std::string& body = m_message.body;
+  if (size <= body.capacity()) return true;
+  const size_t before = body.capacity();
+  size_t capacity =
+      std::max(size, std::min(2 * before, m_limits.max_body_bytes));
+  // Others are not made to give way for room that may not be needed.
+  if (!m_message.charge.HasRoomFor(ByteUse::kLargeRequest, capacity - before)) {
+    capacity = std::max(size, before + before / kSmallGrowthDivisor);
+  }
+  if (!TakeMemory(capacity)) return false;
+  body.reserve(capacity);
   return true;
 }
 
-void HttpReader::ReturnBodyBytes() {
-  if (m_budgeted_bytes == 0) return;
-  m_limits.body_budget->Return(std::exchange(m_budgeted_bytes, 0));
+bool HttpReader::ReserveBody(uint64_t size) {
+  if (size > m_limits.max_body_bytes) {
+    m_too_large = true;
+    return false;
+  }
+  if (!TakeMemory(size)) return false;
+  m_message.body.reserve(size);
+  return true;
 }
 
 bool HttpReader::CountHeaderBytes(size_t size) {
@@ -116,7 +162,7 @@
 int HttpReader::OnMessageBegin(http_parser* parser) {
   HttpReader* self = Self(parser);
   self->m_message = {};
-  self->ReturnBodyBytes();
+  self->m_message.charge = self->m_uncharged.Split(0);
   self->m_header_bytes = 0;
   self->m_message_bytes = 0;
   self->m_in_message = true;
@@ -136,6 +182,7 @@
   if (self->m_last_was_value) {
     self->m_message.headers.m_fields.emplace_back();
     self->m_last_was_value = false;
+    self->m_header_bytes += kFieldFraming;
   }
   self->m_message.headers.m_fields.back().name.append(data, size);
   return self->CountHeaderBytes(size) ? 0 : 1;
@@ -157,16 +204,18 @@
           ? http_method_str(static_cast<http_method>(parser->method))
           : "";
   self->m_message.status = static_cast<int>(parser->status_code);
-  if (!AreNamesValid(self->m_message.headers)) return kInvalidHeaders;
-  return self->m_no_body ? 1 : 0;
+  if (!AreNamesValid(self->m_message.headers)) return kAbort;
+  if (self->m_no_body) return 1;
+  const bool is_announced = (parser->flags & F_CONTENTLENGTH) != 0;
+  return self->ReserveBody(is_announced ? parser->content_length : 0) ? 0
+                                                                      : kAbort;
 }
 
 int HttpReader::OnBody(http_parser* parser, const char* data, size_t size) {
   HttpReader* self = Self(parser);
-  if (!self->TakeBodyBytes(size)) {
-    self->m_too_large = true;
-    return 1;
-  }
+  const size_t bytes = self->m_message.body.size() + size;
+  self->m_too_large = bytes > self->m_limits.max_body_bytes;
+  if (self->m_too_large || !self->GrowBody(bytes)) return 1;
   self->m_message.body.append(data, size);
   return 0;
 }
--- a/Source/eventio/http_reader.h
+++ b/Source/eventio/http_reader.h
@@ -24,29 +24,40 @@
   std::string body;
   // Whether the sender keeps the connection open.
   bool keep_alive = false;
+  // Of the memory of the message.
+  ByteCharge charge;
 };
 
 // Strict incremental parser for the HTTP/1.1 messages of one connection. A
 // message whose framing is ambiguous between parsers is an error. Parsing
-// stops after each message. A response whose framing takes more bytes than its
+// stops after each message. The memory of a message is counted as it grows: of
+// a body that is announced as soon as its head has been read, of others in
+// growing steps. A response whose framing takes more bytes than its
 // body and twice the limit of the headers is too large: parsing chunks of
 // single bytes up to the limit of the body takes the node's time from other
 // calls.
 class HttpReader {
  public:
   enum class Kind : uint8_t { kRequests, kResponses };
-  enum class Result : uint8_t { kNeedsMore, kMessage, kError, kTooLarge };
+  enum class Result : uint8_t {
+    kNeedsMore,
+    kMessage,
+    kError,
+    // The message exceeds a limit, or what the process can ever hold.
+    kTooLarge,
+    // The budget refused the message.
+    kNoMemory,
+  };
 
   struct Limits {
+    // The head as sent, and the body.
     size_t max_header_bytes = size_t{64} << 10;
     size_t max_body_bytes = size_t{64} << 20;
-    // Holds the bytes of the body that is being read, if set. Must outlive the
-    // reader.
-    ByteBudget* body_budget = nullptr;
   };
 
-  HttpReader(Kind kind, Limits limits);
-  ~HttpReader() { ReturnBodyBytes(); }
+  // `charge` names the budget and the use of what is read. Requests are counted
+  // as ordinary or large ones, by their size.
+  HttpReader(Kind kind, Limits limits, ByteCharge charge = {});
   HttpReader(const HttpReader&) = delete;
   HttpReader& operator=(const HttpReader&) = delete;
 
@@ -57,6 +68,8 @@
   // completes a response without Content-Length.
   Result ReadEof();
   ParsedMessage Take();
+  // Discards the message that is being read. No further message can be read.
+  void Discard();
 
   // Must not be called within a message.
   void SetLimits(const Limits& limits) { m_limits = limits; }
@@ -67,6 +80,8 @@
   // Whether the headers of the current message are complete.
   bool AreHeadersComplete() const { return m_headers_complete; }
   const ParsedMessage& Current() const { return m_message; }
+  // Memory of the message that is being read.
+  size_t HeldBytes() const { return m_message.charge.bytes(); }
 
  private:
   static HttpReader* Self(http_parser* parser);
@@ -81,11 +96,19 @@
 
   bool CountHeaderBytes(size_t size);
   bool HasTooMuchFraming() const;
-  bool TakeBodyBytes(size_t size);
-  void ReturnBodyBytes();
+  // Memory of the head.
+  size_t HeadMemory() const;
+  // Counts the message with a body of this capacity.
+  bool TakeMemory(size_t body_capacity);
+  // Makes room for a body that has `size` bytes, and may grow.
+  bool GrowBody(size_t size);
+  // As GrowBody(), for a body whose size is announced.
+  bool ReserveBody(uint64_t size);
 
   const Kind m_kind;
   Limits m_limits;
+  // Empty; names the budget and the use.
+  ByteCharge m_uncharged;
   http_parser m_parser;
   ParsedMessage m_message;
   size_t m_header_bytes = 0;
@@ -93,12 +116,11 @@
   size_t m_message_bytes = 0;
   // Empty lines read since the last message.
   size_t m_skipped_bytes = 0;
-  // Taken from the budget.
-  size_t m_budgeted_bytes = 0;
   bool m_in_message = false;
   bool m_headers_complete = false;
   bool m_complete = false;
   bool m_too_large = false;
+  bool m_no_memory = false;
   bool m_no_body = false;
   bool m_last_was_value = true;
 };
--- a/Source/eventio/http_server_session.h
+++ b/Source/eventio/http_server_session.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 
 #include "eventio/event_loop.h"
@@ -18,15 +19,43 @@
 
 class HttpServerSession;
 
+// State of a connection that decides which one gives way to others.
+struct HttpConnectionStatus {
+  enum class Activity : uint8_t {
+    // Between requests.
+    kIdle,
+    // Part of a request has been received.
+    kReading,
+    // Responses wait for the peer to read them.
+    kSending,
+    // Requests are being processed.
+    kBusy,
+  };
+
+  Activity activity = Activity::kBusy;
+  // Since when it is idle, or when the request or the responses last made
+  // progress.
+  TimePoint since;
+  // Memory of the request that is being read, or of the responses.
+  size_t held_bytes = 0;
+};
+
 // Answers one request of an HttpServerSession.
 class HttpResponder {
  public:
   HttpResponder(std::shared_ptr<HttpServerSession> session,
-                ResponseOrder::RequestId id, TimePoint received)
-      : m_session(std::move(session)), m_id(id), m_received(received) {}
+                ResponseOrder::RequestId id, TimePoint received,
+                ByteCharge charge)
+      : m_session(std::move(session)),
+        m_id(id),
+        m_received(received),
+        m_charge(std::move(charge)) {}
 
   // When the request had been received completely.
   TimePoint received() const { return m_received; }
+  // Shares the body of the request, which stays counted for as long as anyone
+  // holds it. The rest of the request is counted until this object is gone.
+  HeldBytesPtr ShareBody(std::string body);
   // Sends the response once all earlier requests of the connection have been
   // answered. Only the first call has an effect.
   void Respond(HttpResponse response, TimePoint now);
@@ -38,6 +67,7 @@
   std::shared_ptr<HttpServerSession> m_session;
   const ResponseOrder::RequestId m_id;
   const TimePoint m_received;
+  ByteCharge m_charge;
 };
 
 using HttpResponderPtr = std::shared_ptr<HttpResponder>;
@@ -99,8 +129,21 @@
   void CloseAfterResponse();
   // Closes the connection without a response.
   void Abort();
+  // The same, and reports it as if the caller had disconnected.
+  void Drop(TimePoint now);
+
+  // Gives up a request of which a part has been received: answers it with 408,
+  // and closes the connection. Returns false if there is none.
+  bool GiveUpUnreadRequest(TimePoint now);
+  // Counts the received bytes that have not been read from the connection,
+  // which happens while requests must wait for others.
+  void CountUnreadBytes(TimePoint now);
+  // Notes how much of the responses the peer has read.
+  void NoteSendProgress(TimePoint now);
 
   bool IsOpen() const { return m_connection != nullptr; }
+  // What the connection is doing, and what it holds.
+  HttpConnectionStatus Status() const;
   // Size of the responses that wait for earlier ones of this connection.
   size_t HeldBytes() const { return m_order.HeldBytes(); }
 
@@ -113,6 +156,7 @@
     // Whether the caller keeps the connection open after this request.
     bool keep_alive = false;
     TimePoint received;
+    ByteCharge charge;
   };
 
   enum class TimerKind : uint8_t { kNone, kIdle, kHeader, kBody };
@@ -145,16 +189,45 @@
   void UpdateTimer(TimePoint now);
   void OnTimer(TimePoint now);
   void ReleaseConnection();
+  void NoteProgress(size_t bytes, TimePoint now);
+  // Counts what has been received and not been parsed; false if the budget
+  // refuses that.
+  bool CountPending();
+  bool HasUnparsedData() const {
+    return !m_incoming.empty() || !m_pending.empty();
+  }
+  void DiscardUnparsedData();
 
   // Unread bytes above which reading from the connection pauses.
   static constexpr size_t kMaxPipelinedBytes = size_t{16} << 10;
+  // Bytes of a request that count as progress. Fewer may come from a client
+  // that only keeps its connection busy.
+  static constexpr size_t kProgressBytes = size_t{16} << 10;
+  // Capacity of the buffer of unparsed data that a connection keeps.
+  static constexpr size_t kMaxIdleBuffer = size_t{4} << 10;
+  // Memory of a connection beside its messages.
+  static constexpr size_t kConnectionBytes = size_t{6} << 10;
 
   EventLoop* m_loop;
   std::shared_ptr<TcpConnection> m_connection;
   HttpRequestHandler* m_handler;
   const std::shared_ptr<const HttpServerLimits> m_limits;
   HttpReader m_reader;
+  // Data being received; empty between events.
+  std::string_view m_incoming;
+  // Earlier data that has not been parsed.
   std::string m_pending;
+  // Of m_pending, and of what has not been read from the connection.
+  ByteCharge m_pending_charge;
+  // Of the responses that wait for earlier ones.
+  ByteCharge m_held_charge;
+  ByteCharge m_connection_charge;
+  // Received since m_progress_at.
+  size_t m_received_bytes = 0;
+  TimePoint m_progress_at;
+  // As of m_send_progress_at.
+  size_t m_unacknowledged_bytes = 0;
+  TimePoint m_send_progress_at;
   std::optional<WaitingRequest> m_waiting;
   ResponseOrder m_order;
   std::map<ResponseOrder::RequestId, HttpResponderPtr> m_responders;
--- a/Source/eventio/tcp_connection.cc
+++ b/Source/eventio/tcp_connection.cc
@@ -1,8 +1,10 @@
 #include "eventio/tcp_connection.h"
 
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <utility>
 
 #include "absl/strings/numbers.h"
@@ -22,7 +24,7 @@
 
 struct WriteRequest {
   uv_write_t request;
-  std::string data;
+  HeldBytesPtr data;
   std::shared_ptr<TcpConnection> connection;
 };
 
@@ -125,7 +127,11 @@
 void TcpConnection::OnRead(ssize_t count, std::string_view data) {
   if (count == 0) return;
   if (m_state == State::kLingering) {
-    if (count < 0) Close();
+    if (count < 0) {
+      Close();
+      return;
+    }
+    m_linger_received = BootClock::now();
     return;
   }
   if (count > 0) {
@@ -154,24 +160,40 @@
 
 void TcpConnection::Write(std::string data) {
   if (m_state != State::kOpen || data.empty()) return;
+  const size_t sent = SendNow(data);
+  if (sent == data.size()) return;
+  Queue(Hold(std::move(data), &m_loop->memory(), ByteUse::kOutput), sent);
+}
+
+void TcpConnection::Write(HeldBytesPtr data) {
+  if (m_state != State::kOpen || data->size() == 0) return;
+  const size_t sent = SendNow(data->text());
+  if (sent < data->size()) Queue(std::move(data), sent);
+}
+
+size_t TcpConnection::SendNow(std::string_view data) {
   auto* stream = reinterpret_cast<uv_stream_t*>(&m_tcp);
-  if (uv_stream_get_write_queue_size(stream) == 0) {
-    uv_buf_t buffer = uv_buf_init(data.data(), data.size());
-    const int sent = uv_try_write(stream, &buffer, 1);
-    if (sent == static_cast<int>(data.size())) return;
-    if (sent > 0) data.erase(0, static_cast<size_t>(sent));
-  }
+  if (uv_stream_get_write_queue_size(stream) != 0) return 0;
+  // libuv does not write to it.
+  uv_buf_t buffer = uv_buf_init(const_cast<char*>(data.data()), data.size());
+  return static_cast<size_t>(std::max(uv_try_write(stream, &buffer, 1), 0));
+}
+
+void TcpConnection::Queue(HeldBytesPtr data, size_t offset) {
+  const std::string_view unsent = data->text().substr(offset);
+  uv_buf_t buffer =
+      uv_buf_init(const_cast<char*>(unsent.data()), unsent.size());
   auto* write = new WriteRequest{{}, std::move(data), shared_from_this()};
   write->request.data = write;
-  uv_buf_t buffer = uv_buf_init(write->data.data(), write->data.size());
-  const int error = uv_write(
-      &write->request, stream, &buffer, 1, [](uv_write_t* done, int status) {
-        std::unique_ptr<WriteRequest> finished(
-            static_cast<WriteRequest*>(done->data));
-        if (status < 0 && status != UV_ECANCELED) {
-          finished->connection->End(ConnectionEnd::kFailed);
-        }
-      });
+  const int error =
+      uv_write(&write->request, reinterpret_cast<uv_stream_t*>(&m_tcp), &buffer,
+               1, [](uv_write_t* done, int status) {
+                 std::unique_ptr<WriteRequest> finished(
+                     static_cast<WriteRequest*>(done->data));
+                 if (status < 0 && status != UV_ECANCELED) {
+                   finished->connection->End(ConnectionEnd::kFailed);
+                 }
+               });
   // The read callback reports the failed connection.
   if (error != 0) delete write;
 }
@@ -209,10 +231,44 @@
     Close();
     return;
   }
-  const auto close = [weak = weak_from_this()](TimePoint) {
-    if (const auto self = weak.lock()) self->Close();
+  m_linger_started = m_linger_received = BootClock::now();
+  ScheduleLingerTimer(m_linger_started);
+}
+
+void TcpConnection::ScheduleLingerTimer(TimePoint now) {
+  const auto check = [weak = weak_from_this()](TimePoint later) {
+    const auto self = weak.lock();
+    if (!self) return;
+    self->m_linger_timer = 0;
+    if (self->HasLingered(later)) {
+      self->Close();
+      return;
+    }
+    self->ScheduleLingerTimer(later);
   };
-  m_linger_timer = m_loop->Schedule(BootClock::now() + kLingerTimeout, close);
+  m_linger_timer = m_loop->Schedule(now + kLingerTimeout, check);
+}
+
+bool TcpConnection::HasLingered(TimePoint now) const {
+  return now - m_linger_received >= kLingerTimeout ||
+         now - m_linger_started >= kMaxLingerTime;
+}
+
+size_t TcpConnection::UnreadBytes() const { return SocketBytes(FIONREAD); }
+
+size_t TcpConnection::UnacknowledgedBytes() const {
+  return UnsentBytes() + SocketBytes(TIOCOUTQ);
+}
+
+size_t TcpConnection::SocketBytes(unsigned long request) const {
+  uv_os_fd_t fd = -1;
+  int bytes = 0;
+  if (m_state == State::kEnded ||
+      uv_fileno(reinterpret_cast<const uv_handle_t*>(&m_tcp), &fd) != 0 ||
+      ioctl(fd, request, &bytes) != 0) {
+    return 0;
+  }
+  return static_cast<size_t>(std::max(bytes, 0));
 }
 
 void TcpConnection::PauseReading() {
--- a/Source/eventio/tcp_connection.h
+++ b/Source/eventio/tcp_connection.h
@@ -57,19 +57,27 @@
   void SetHandler(TcpHandler* handler) { m_handler = handler; }
   // Queues data for sending in order. Ignored after the connection has ended.
   void Write(std::string data);
+  void Write(HeldBytesPtr data);
   // Closes the connection at once and discards unsent data. The handler
   // receives no further events.
   void Close();
-  // Flushes unsent data and shuts down the write side, then waits up to
-  // kLingerTimeout for the peer to close, because closing earlier could reset
-  // the connection and lose the last bytes.
+  // Flushes unsent data and shuts down the write side, then waits for the peer
+  // to close, because closing earlier could reset the connection and lose the
+  // last bytes. Waits up to kLingerTimeout, and up to kMaxLingerTime while the
+  // peer still sends; what it sends is discarded.
   void CloseAfterFlush();
   void PauseReading();
   void ResumeReading();
 
   // Number of bytes queued for sending.
   size_t UnsentBytes() const;
+  // Number of bytes that the peer has not acknowledged, with the queued ones.
+  size_t UnacknowledgedBytes() const;
+  // Number of bytes received that have not been read.
+  size_t UnreadBytes() const;
   bool IsOpen() const { return m_state == State::kOpen; }
+  bool IsLingering() const { return m_state == State::kLingering; }
+  bool IsReading() const { return m_reading; }
 
  private:
   friend class TcpListener;
@@ -82,9 +90,19 @@
   void OnRead(ssize_t count, std::string_view data);
   void SetKeepAlive();
   bool IsAtEndOfStream() const;
-
-  // How long to wait for the peer to close after the write side was shut down.
+  // Sends what can be sent now; returns the number of bytes.
+  size_t SendNow(std::string_view data);
+  // Queues the data from `offset` on.
+  void Queue(HeldBytesPtr data, size_t offset);
+  void ScheduleLingerTimer(TimePoint now);
+  bool HasLingered(TimePoint now) const;
+  // Asks the socket for a number of bytes; 0 if it does not tell.
+  size_t SocketBytes(unsigned long request) const;
+
+  // How long to wait for the peer to close after the write side was shut down:
+  // after the last data from the peer, and in all.
   static constexpr Duration kLingerTimeout = std::chrono::seconds(1);
+  static constexpr Duration kMaxLingerTime = std::chrono::seconds(5);
 
   EventLoop* m_loop;
   TcpHandler* m_handler = nullptr;
@@ -92,6 +110,9 @@
   State m_state = State::kConnecting;
   bool m_reading = false;
   TimerId m_linger_timer = 0;
+  TimePoint m_linger_started;
+  // When the peer last sent data that was discarded.
+  TimePoint m_linger_received;
   // Keeps the object alive until libuv has closed the socket.
   std::shared_ptr<TcpConnection> m_self;
 };
--- a/Source/relay/call_executor.cc
+++ b/Source/relay/call_executor.cc
@@ -47,13 +47,15 @@
   m_admission->SetSlots(slots);
 }
 
-CallExecutor::Handle CallExecutor::Start(const relay::Call& call, Done done,
+CallExecutor::Handle CallExecutor::Start(CallMessage message, Done done,
                                          TimePoint now) {
   // The directory of the caller's node may be newer than this node's.
-  Resize(call.declared_slots());
+  Resize(message.call.declared_slots());
   const Handle handle = ++m_last_handle;
   LocalCall& local = m_calls[handle];
-  local.call = call;
+  local.call = std::move(message.call);
+  local.body = std::move(message.body);
+  const relay::Call& call = local.call;
   local.done = std::move(done);
   local.received = now;
   local.deadline = now + TimeLeft(call);
@@ -109,7 +111,6 @@
   HttpRequest request;
   request.method = local.call.method();
   request.target = local.call.target();
-  request.body = local.call.body();
   request.headers = DecodeHeaders(local.call.headers());
   const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
       local.deadline - now);
@@ -138,12 +139,11 @@
                                    Finish(handle, std::move(result), t);
                                  });
   local.session->Send(
-      MakeRequest(local, now),
+      MakeRequest(local, now), std::exchange(local.body, nullptr),
       [this, handle](ExchangeResult exchange, TimePoint t) {
         OnExchange(handle, std::move(exchange), t);
       },
       now);
-  local.call.clear_body();
 }
 
 void CallExecutor::OnExchange(Handle handle, ExchangeResult exchange,
@@ -423,10 +423,8 @@
     m_idle_sessions.erase(it);
     return session;
   }
-  HttpReader::Limits limits = kAnswerLimits;
-  limits.body_budget = &m_answer_bytes;
-  return std::make_shared<HttpClientSession>(m_loop, m_server,
-                                             m_names->request_id, limits);
+  return std::make_shared<HttpClientSession>(
+      m_loop, m_server, m_names->request_id, kAnswerLimits);
 }
 
 void CallExecutor::ReturnSession(std::shared_ptr<HttpClientSession> session,
--- a/Source/relay/call_executor.h
+++ b/Source/relay/call_executor.h
@@ -12,6 +12,7 @@
 
 #include "admission/admission.h"
 #include "eventio/eventio.h"
+#include "relay/call_message.h"
 #include "relay/call_result.h"
 #include "relay/event_log.h"
 #include "relay/protocol_names.h"
@@ -47,7 +48,7 @@
 
   // `done` is called exactly once, possibly before Start() returns, unless
   // Cancel() returns true first.
-  Handle Start(const relay::Call& call, Done done, TimePoint now);
+  Handle Start(CallMessage message, Done done, TimePoint now);
   // Cancels a call whose caller no longer waits for it. Returns true if the
   // call was still queued, or was idempotent and its request to the server was
   // aborted; `done` is then not called. Returns false for a non-idempotent call
@@ -82,14 +83,14 @@
   const std::optional<double>& rate_limit() const { return m_rate.rate(); }
   // Calls sent to the server in the last four seconds.
   uint32_t RecentCalls(TimePoint now) { return m_dispatched_calls.Count(now); }
-  // Size of the response bodies that are being read from the server.
-  size_t UnfinishedAnswerBytes() const { return m_answer_bytes.used(); }
   bool IsIdle() const { return m_calls.empty(); }
   void Tick(TimePoint now);
 
  private:
   struct LocalCall {
     relay::Call call;
+    // Null once it has been handed to the session.
+    HeldBytesPtr body;
     std::string request_id;
     Done done;
     TimePoint received;
@@ -145,11 +146,9 @@
   // the tighter bound.
   static constexpr Duration kMaxQueueWait = std::chrono::seconds(2);
 
-  // Largest response, and size of all responses that are being read. A faulty
-  // server may send bytes without end.
+  // Largest response. A faulty server may send bytes without end.
   static constexpr HttpReader::Limits kAnswerLimits = {size_t{64} << 10,
                                                        size_t{16} << 20};
-  static constexpr size_t kMaxUnfinishedAnswerBytes = size_t{32} << 20;
 
   EventLoop* m_loop;
   const SocketAddress m_server;
@@ -173,8 +172,6 @@
   std::function<void(TimePoint now)> m_notice_listener;
   WindowCounter m_dispatched_calls;
   Handle m_last_handle = 0;
-  // Must outlive the sessions, which return their bytes.
-  ByteBudget m_answer_bytes{kMaxUnfinishedAnswerBytes};
   std::map<Handle, LocalCall> m_calls;
   // Running calls by request ID.
   std::map<std::string, Handle, std::less<>> m_active_by_request_id;
--- a/Source/relay/call_result.cc
+++ b/Source/relay/call_result.cc
@@ -66,35 +66,35 @@
           load.server().has_rate_limit()};
 }
 
-relay::Answer EncodeAnswer(uint64_t id, const CallResult& result) {
+relay::Answer EncodeAnswer(uint64_t id, CallResult* result) {
   relay::Answer answer;
   answer.set_id(id);
-  answer.set_fate(EncodeOutcome(result.outcome));
-  answer.set_reason(static_cast<uint32_t>(result.code));
-  if (result.outcome == Outcome::kComplete) {
-    answer.set_status(static_cast<uint32_t>(result.response.status));
-    EncodeHeaders(result.response.headers, answer.mutable_headers());
-    answer.set_body(result.response.body);
+  answer.set_fate(EncodeOutcome(result->outcome));
+  answer.set_reason(static_cast<uint32_t>(result->code));
+  if (result->outcome == Outcome::kComplete) {
+    answer.set_status(static_cast<uint32_t>(result->response.status));
+    EncodeHeaders(result->response.headers, answer.mutable_headers());
+    answer.set_body(std::move(result->response.body));
   }
-  if (result.has_load) *answer.mutable_load() = EncodeLoad(result.load);
-  answer.set_wait_us(ToMicroseconds(result.expected_wait));
-  answer.set_overload_below(result.overload_below);
+  if (result->has_load) *answer.mutable_load() = EncodeLoad(result->load);
+  answer.set_wait_us(ToMicroseconds(result->expected_wait));
+  answer.set_overload_below(result->overload_below);
   return answer;
 }
 
-CallResult DecodeAnswer(const relay::Answer& answer) {
+CallResult DecodeAnswer(relay::Answer* answer) {
   CallResult result;
-  result.outcome = DecodeFate(answer.fate());
-  result.code = answer.reason() <= static_cast<uint32_t>(kLastRefusalCode)
-                    ? static_cast<RefusalCode>(answer.reason())
+  result.outcome = DecodeFate(answer->fate());
+  result.code = answer->reason() <= static_cast<uint32_t>(kLastRefusalCode)
+                    ? static_cast<RefusalCode>(answer->reason())
                     : RefusalCode::kNone;
-  result.response.status = static_cast<int>(answer.status());
-  result.response.headers = DecodeHeaders(answer.headers());
-  result.response.body = answer.body();
-  result.has_load = answer.has_load();
-  result.load = DecodeLoad(answer.load());
-  result.expected_wait = ClampedMicroseconds(answer.wait_us());
-  result.overload_below = answer.overload_below();
+  result.response.status = static_cast<int>(answer->status());
+  result.response.headers = DecodeHeaders(answer->headers());
+  result.response.body = std::move(*answer->mutable_body());
+  result.has_load = answer->has_load();
+  result.load = DecodeLoad(answer->load());
+  result.expected_wait = ClampedMicroseconds(answer->wait_us());
+  result.overload_below = answer->overload_below();
   return result;
 }
 
--- a/Source/relay/call_result.h
+++ b/Source/relay/call_result.h
@@ -37,8 +37,10 @@
   ServerNotice notice;
 };
 
-relay::Answer EncodeAnswer(uint64_t id, const CallResult& result);
-CallResult DecodeAnswer(const relay::Answer& answer);
+// Moves the body out of `result`.
+relay::Answer EncodeAnswer(uint64_t id, CallResult* result);
+// Moves the body out of `answer`.
+CallResult DecodeAnswer(relay::Answer* answer);
 // Time left of a call.
 Duration TimeLeft(const relay::Call& call);
 // Decodes a duration sent by another node, at most kMaxCallTime: the sender may
--- a/Source/relay/peer_client.cc
+++ b/Source/relay/peer_client.cc
@@ -9,26 +9,35 @@
                        Callbacks callbacks)
     : m_loop(loop),
       m_address(std::move(address)),
-      m_callbacks(std::move(callbacks)) {}
+      m_callbacks(std::move(callbacks)),
+      m_reader(&loop->memory(), ByteUse::kPeerAnswer) {}
 
 PeerClient::~PeerClient() { Disconnect(); }
 
-void PeerClient::Call(const relay::Call& call, Done done, TimePoint now) {
-  relay::Frame frame;
-  *frame.mutable_call() = call;
-  PendingCall& pending = m_pending_calls[call.id()];
+void PeerClient::Call(const CallMessage& message, Done done, TimePoint now) {
+  PendingCall& pending = m_pending_calls[message.call.id()];
   pending.done = std::move(done);
-  pending.idempotent = call.idempotent();
+  pending.idempotent = message.call.idempotent();
+  const size_t body_bytes = message.body ? message.body->size() : 0;
+  std::string frame = EncodeCallFrame(message.call, body_bytes);
   if (m_is_up) {
     if (m_pending_calls.size() == 1) m_last_probe = m_last_received = now;
     MarkSent(&pending);
-    m_connection->Write(EncodeFrame(frame));
+    Send(std::move(frame), message.body);
     return;
   }
-  pending.unsent = EncodeFrame(frame);
+  pending.unsent = std::move(frame);
+  pending.unsent_body = message.body;
   if (!m_connection) Connect(now);
 }
 
+void PeerClient::Send(std::string frame, HeldBytesPtr body) {
+  const bool is_joined = body && body->size() <= kMaxJoinedBytes;
+  if (is_joined) frame += body->text();
+  m_connection->Write(std::move(frame));
+  if (body && !is_joined) m_connection->Write(std::move(body));
+}
+
 void PeerClient::MarkSent(PendingCall* pending) const {
   pending->connection = m_connection_number;
   pending->connection_began = m_connect_started;
@@ -57,7 +66,7 @@
 }
 
 void PeerClient::Connect(TimePoint now) {
-  m_reader = {};
+  m_reader = FrameReader(&m_loop->memory(), ByteUse::kPeerAnswer);
   m_is_peer_known = false;
   m_connect_started = now;
   m_connection = TcpConnection::Connect(m_loop, m_address, this);
@@ -80,13 +89,13 @@
   for (const auto& [id, pending] : m_pending_calls) {
     if (pending.connection != 0) frame.mutable_hello()->add_waiting_calls(id);
   }
-  std::string data = EncodeFrame(frame);
+  m_connection->Write(EncodeFrame(frame));
   for (auto& [id, pending] : m_pending_calls) {
     if (pending.connection != 0) continue;
-    data += std::exchange(pending.unsent, {});
     MarkSent(&pending);
+    Send(std::exchange(pending.unsent, {}),
+         std::exchange(pending.unsent_body, nullptr));
   }
-  m_connection->Write(std::move(data));
 }
 
 void PeerClient::OnData(std::string_view data, TimePoint now) {
@@ -103,28 +112,31 @@
         Disconnect();
         OnConnectionLost(false, now);
         return;
+      case FrameReader::Result::kSkipped:
+        HandleSkippedAnswer(m_reader.skipped_id(), now);
+        break;
       case FrameReader::Result::kFrame:
-        HandleFrame(frame, now);
+        HandleFrame(&frame, now);
         break;
     }
   }
 }
 
-void PeerClient::HandleFrame(const relay::Frame& frame, TimePoint now) {
-  switch (frame.content_case()) {
+void PeerClient::HandleFrame(relay::Frame* frame, TimePoint now) {
+  switch (frame->content_case()) {
     case relay::Frame::kHello:
-      HandleHello(frame.hello(), now);
-      m_callbacks.on_frame(frame, now);
+      HandleHello(frame->hello(), now);
+      m_callbacks.on_frame(*frame, now);
       break;
     case relay::Frame::kAnswer:
-      HandleAnswer(frame.answer(), now);
+      HandleAnswer(frame->mutable_answer(), now);
       break;
     case relay::Frame::kStatus:
-      HandleNotice(frame.status().load(), now);
-      m_callbacks.on_load(DecodeLoad(frame.status().load()), now);
+      HandleNotice(frame->status().load(), now);
+      m_callbacks.on_load(DecodeLoad(frame->status().load()), now);
       break;
     default:
-      m_callbacks.on_frame(frame, now);
+      m_callbacks.on_frame(*frame, now);
       break;
   }
 }
@@ -160,15 +172,25 @@
   return pending.connection_began >= m_peer_running_since;
 }
 
-void PeerClient::HandleAnswer(const relay::Answer& answer, TimePoint now) {
-  m_pending_acks.push_back(answer.id());
-  if (answer.has_view()) m_callbacks.on_view(answer.view(), now);
-  if (answer.has_load()) HandleNotice(answer.load(), now);
-  const auto found = m_pending_calls.find(answer.id());
+void PeerClient::HandleAnswer(relay::Answer* answer, TimePoint now) {
+  if (answer->has_view()) m_callbacks.on_view(answer->view(), now);
+  if (answer->has_load()) HandleNotice(answer->load(), now);
+  EndCall(answer->id(), DecodeAnswer(answer), now);
+}
+
+void PeerClient::HandleSkippedAnswer(uint64_t id, TimePoint now) {
+  CallResult result;
+  result.code = RefusalCode::kNoMemory;
+  EndCall(id, std::move(result), now);
+}
+
+void PeerClient::EndCall(uint64_t id, CallResult result, TimePoint now) {
+  m_pending_acks.push_back(id);
+  const auto found = m_pending_calls.find(id);
   if (found == m_pending_calls.end()) return;
   const Done done = std::move(found->second.done);
   m_pending_calls.erase(found);
-  done(DecodeAnswer(answer), now);
+  done(std::move(result), now);
 }
 
 void PeerClient::HandleNotice(const relay::Load& load, TimePoint now) {
--- a/Source/relay/peer_client.h
+++ b/Source/relay/peer_client.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "eventio/eventio.h"
+#include "relay/call_message.h"
 #include "relay/call_result.h"
 #include "relay/frame_stream.h"
 
@@ -56,7 +57,7 @@
 
   // Sends the call. `done` is called once unless Cancel() is called first. Call
   // IDs must increase.
-  void Call(const relay::Call& call, Done done, TimePoint now);
+  void Call(const CallMessage& message, Done done, TimePoint now);
   // Cancels a call whose result is no longer needed.
   void Cancel(uint64_t id);
   // Sends a frame, or drops it if the connection is down.
@@ -71,8 +72,9 @@
   struct PendingCall {
     Done done;
     bool idempotent = false;
-    // Encoded frame; empty once sent.
+    // Encoded frame up to the body, and the body; empty once sent.
     std::string unsent;
+    HeldBytesPtr unsent_body;
     // Sequence number of the connection used to send the call; 0 if unsent.
     uint64_t connection = 0;
     // When that connection was begun.
@@ -89,13 +91,17 @@
   void Connect(TimePoint now);
   void Disconnect();
   void OnConnectionLost(bool refused, TimePoint now);
-  void HandleFrame(const relay::Frame& frame, TimePoint now);
+  void Send(std::string frame, HeldBytesPtr body);
+  void HandleFrame(relay::Frame* frame, TimePoint now);
   void HandleHello(const relay::Hello& hello, TimePoint now);
   void MarkSent(PendingCall* pending) const;
   // Whether the process at the other end of the current connection received the
   // call if any process did.
   bool CanVouch(const PendingCall& pending) const;
-  void HandleAnswer(const relay::Answer& answer, TimePoint now);
+  void HandleAnswer(relay::Answer* answer, TimePoint now);
+  // An answer was refused, so that the outcome of its call is unknown.
+  void HandleSkippedAnswer(uint64_t id, TimePoint now);
+  void EndCall(uint64_t id, CallResult result, TimePoint now);
   void HandleNotice(const relay::Load& load, TimePoint now);
   // Completes the calls that match `selects` with the given outcome.
   void EndCalls(const std::function<bool(const PendingCall&)>& selects,
@@ -116,6 +122,8 @@
   static constexpr Duration kSilenceTimeout = std::chrono::milliseconds(1200);
   // Acknowledgements of answers are batched.
   static constexpr size_t kAckBatchSize = 16;
+  // Bodies up to this size are written together with their frame.
+  static constexpr size_t kMaxJoinedBytes = size_t{16} << 10;
   // Divisor of a time measured by a peer that gives its largest error: clocks
   // that are being adjusted run up to 0.05% fast or slow.
   static constexpr int kClockDriftDivisor = 1000;
--- a/Source/relay/peer_server.cc
+++ b/Source/relay/peer_server.cc
@@ -14,7 +14,9 @@
                             private TcpHandler {
  public:
   Session(PeerServer* server, std::shared_ptr<TcpConnection> connection)
-      : m_server(server), m_connection(std::move(connection)) {
+      : m_server(server),
+        m_connection(std::move(connection)),
+        m_reader(server->m_memory, ByteUse::kLargeRequest) {
     m_connection->SetHandler(this);
   }
   ~Session() override { Close(); }
@@ -22,6 +24,9 @@
   void Send(std::string frame) {
     if (m_connection) m_connection->Write(std::move(frame));
   }
+  void Send(HeldBytesPtr frame) {
+    if (m_connection) m_connection->Write(std::move(frame));
+  }
 
   void Close() {
     if (!m_connection) return;
@@ -46,7 +51,11 @@
         m_server->OnSessionEnd(self, now);
         return;
       }
-      m_server->OnFrame(self, frame, now);
+      if (result == FrameReader::Result::kSkipped) {
+        m_server->OnSkippedCall(self, m_reader.skipped_id(), now);
+        continue;
+      }
+      m_server->OnFrame(self, &frame, now);
     }
   }
 
@@ -61,7 +70,8 @@
   FrameReader m_reader;
 };
 
-PeerServer::PeerServer(PeerCallHandler* handler) : m_handler(handler) {}
+PeerServer::PeerServer(PeerCallHandler* handler, ByteBudget* memory)
+    : m_handler(handler), m_memory(memory) {}
 
 PeerServer::~PeerServer() = default;
 
@@ -71,7 +81,8 @@
 }
 
 void PeerServer::OnFrame(const std::shared_ptr<Session>& session,
-                         const relay::Frame& frame, TimePoint now) {
+                         relay::Frame* received, TimePoint now) {
+  const relay::Frame& frame = *received;
   if (frame.has_hello()) {
     OnHello(session, frame.hello(), now);
     ForwardFrame(session, frame, now);
@@ -85,22 +96,24 @@
   Caller& caller = found->second;
   const uint64_t incarnation = found->first;
   switch (frame.content_case()) {
-    case relay::Frame::kCall:
+    case relay::Frame::kCall: {
+      const uint64_t id = frame.call().id();
       // The caller may have been told that this call was never received, so it
       // must not run.
-      if (frame.call().id() <= caller.highest_call) break;
-      caller.highest_call = frame.call().id();
-      caller.running[frame.call().id()] = frame.call().idempotent();
-      m_handler->OnPeerCall({incarnation, frame.call().id()}, frame.call(),
+      if (id <= caller.highest_call) break;
+      caller.highest_call = id;
+      caller.running[id] = frame.call().idempotent();
+      m_handler->OnPeerCall({incarnation, id}, TakeCall(received, m_memory),
                             now);
       break;
+    }
     case relay::Frame::kCancel:
-      caller.answers.erase(frame.cancel().id());
+      DiscardAnswer(&caller, frame.cancel().id());
       m_handler->OnPeerCancel({incarnation, frame.cancel().id()}, now);
       break;
     case relay::Frame::kReceived:
       for (const uint64_t id : frame.received().ids()) {
-        caller.answers.erase(id);
+        DiscardAnswer(&caller, id);
       }
       break;
     case relay::Frame::kStatus:
@@ -116,6 +129,24 @@
   }
 }
 
+void PeerServer::OnSkippedCall(const std::shared_ptr<Session>& session,
+                               uint64_t id, TimePoint now) {
+  const auto found = m_callers.find(session->incarnation);
+  if (found == m_callers.end()) {
+    OnSessionEnd(session, now);
+    return;
+  }
+  // The same rule as for calls that are received.
+  if (id <= found->second.highest_call) return;
+  found->second.highest_call = id;
+  const PeerCallKey key{found->first, id};
+  m_handler->OnPeerCallRefused(key, now);
+  CallResult refusal;
+  refusal.outcome = Outcome::kNotRun;
+  refusal.code = RefusalCode::kNoMemory;
+  Answer(key, std::move(refusal), now);
+}
+
 void PeerServer::ForwardFrame(const std::shared_ptr<Session>& session,
                               const relay::Frame& frame, TimePoint now) {
   m_handler->OnPeerFrame(
@@ -169,7 +200,7 @@
     result.outcome = was_received ? Outcome::kUnknown : Outcome::kNotRun;
     result.code = RefusalCode::kConnectionLost;
     relay::Frame frame;
-    *frame.mutable_answer() = EncodeAnswer(id, result);
+    *frame.mutable_answer() = EncodeAnswer(id, &result);
     caller->session->Send(EncodeFrame(frame));
     caller->highest_call = std::max(caller->highest_call, id);
   }
@@ -202,13 +233,14 @@
   m_sessions.erase(session.get());
 }
 
-void PeerServer::Answer(const PeerCallKey& key, const CallResult& result) {
+void PeerServer::Answer(const PeerCallKey& key, CallResult result,
+                        TimePoint now) {
   const auto found = m_callers.find(key.incarnation);
   if (found == m_callers.end()) return;
   Caller& caller = found->second;
   caller.running.erase(key.id);
   relay::Frame frame;
-  *frame.mutable_answer() = EncodeAnswer(key.id, result);
+  *frame.mutable_answer() = EncodeAnswer(key.id, &result);
   *frame.mutable_answer()->mutable_load() = m_handler->Load();
   const relay::View view = m_handler->View();
   if (DirectoryOf(view) != DirectoryOf(caller.last_sent_view) ||
@@ -216,9 +248,24 @@
     caller.last_sent_view = view;
     *frame.mutable_answer()->mutable_view() = view;
   }
-  std::string text = EncodeFrame(frame);
+  std::string encoded = EncodeFrame(frame);
+  const bool is_small = encoded.size() <= ByteBudget::kOrdinaryBytes;
+  if (!m_memory->HasRoom(
+          is_small ? ByteUse::kRetainedAnswer : ByteUse::kPeerAnswer,
+          encoded.capacity())) {
+    // The call has run, so that its outcome is unknown without its answer.
+    CallResult lost;
+    lost.code = RefusalCode::kNoMemory;
+    *frame.mutable_answer() = EncodeAnswer(key.id, &lost);
+    *frame.mutable_answer()->mutable_load() = m_handler->Load();
+    encoded = EncodeFrame(frame);
+    m_handler->OnAnswersDiscarded(1, now);
+  }
+  HeldBytesPtr text =
+      Hold(std::move(encoded), m_memory, ByteUse::kRetainedAnswer);
   if (caller.session) caller.session->Send(text);
   RetainAnswer(&caller, key.id, std::move(text));
+  LimitRetainedAnswers(now);
 }
 
 void PeerServer::Forget(const PeerCallKey& key) {
@@ -226,11 +273,55 @@
   if (found != m_callers.end()) found->second.running.erase(key.id);
 }
 
-void PeerServer::RetainAnswer(Caller* caller, uint64_t id, std::string frame) {
+void PeerServer::RetainAnswer(Caller* caller, uint64_t id, HeldBytesPtr frame) {
+  m_retained_bytes += frame->size();
   caller->answers[id] = std::move(frame);
   if (caller->answers.size() > kMaxRetainedAnswers) {
-    caller->answers.erase(caller->answers.begin());
+    DiscardAnswer(caller, caller->answers.begin()->first);
+  }
+}
+
+void PeerServer::DiscardAnswer(Caller* caller, uint64_t id) {
+  const auto found = caller->answers.find(id);
+  if (found == caller->answers.end()) return;
+  m_retained_bytes -= found->second->size();
+  caller->answers.erase(found);
+}
+
+void PeerServer::DiscardAnswers(Caller* caller) {
+  while (!caller->answers.empty()) {
+    DiscardAnswer(caller, caller->answers.begin()->first);
+  }
+}
+
+void PeerServer::LimitRetainedAnswers(TimePoint now) {
+  size_t discarded = 0;
+  while (m_retained_bytes > m_memory->RetainedLimit()) {
+    Caller* caller = CallerToDiscardFrom();
+    if (caller == nullptr) break;
+    DiscardAnswer(caller, caller->answers.begin()->first);
+    ++discarded;
+  }
+  if (discarded > 0) m_handler->OnAnswersDiscarded(discarded, now);
+}
+
+PeerServer::Caller* PeerServer::CallerToDiscardFrom() {
+  Caller* chosen = nullptr;
+  for (auto& [incarnation, caller] : m_callers) {
+    if (caller.answers.empty()) continue;
+    if (chosen == nullptr || IsDiscardedBefore(caller, *chosen)) {
+      chosen = &caller;
+    }
   }
+  return chosen;
+}
+
+bool PeerServer::IsDiscardedBefore(const Caller& one, const Caller& other) {
+  const bool is_gone = one.session == nullptr;
+  const bool is_other_gone = other.session == nullptr;
+  if (is_gone != is_other_gone) return is_gone;
+  return is_gone ? one.disconnected_at < other.disconnected_at
+                 : one.answers.size() > other.answers.size();
 }
 
 void PeerServer::BroadcastLoad() {
@@ -254,13 +345,16 @@
           incarnation, &caller, [](uint64_t) { return true; }, now);
     }
     if (now - caller.disconnected_at >= kAnswerRetention) {
-      caller.answers.clear();
+      DiscardAnswers(&caller);
     }
     if (now - caller.disconnected_at >= kCallerRetention) {
       gone.push_back(incarnation);
     }
   }
-  for (const uint64_t incarnation : gone) m_callers.erase(incarnation);
+  for (const uint64_t incarnation : gone) {
+    DiscardAnswers(&m_callers[incarnation]);
+    m_callers.erase(incarnation);
+  }
 }
 
 }  // namespace vanillatiller
--- a/Source/relay/peer_server.h
+++ b/Source/relay/peer_server.h
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "eventio/eventio.h"
+#include "relay/call_message.h"
 #include "relay/call_result.h"
 #include "relay/frame_stream.h"
 
@@ -26,8 +27,14 @@
 class PeerCallHandler {
  public:
   virtual ~PeerCallHandler() = default;
-  virtual void OnPeerCall(const PeerCallKey& key, const relay::Call& call,
+  virtual void OnPeerCall(const PeerCallKey& key, CallMessage message,
                           TimePoint now) = 0;
+  // Memory is used up. The call has not been received, and its sender will be
+  // told that it does not run.
+  virtual void OnPeerCallRefused(const PeerCallKey& key, TimePoint now) = 0;
+  // The bytes that were kept of answers exceed their limit; the oldest ones
+  // have been discarded.
+  virtual void OnAnswersDiscarded(size_t answers, TimePoint now) = 0;
   virtual void OnPeerCancel(const PeerCallKey& key, TimePoint now) = 0;
   virtual relay::Load Load() const = 0;
   // Versions of the platform state known to this node.
@@ -46,11 +53,12 @@
 // connection; see PeerClient.
 class PeerServer {
  public:
-  explicit PeerServer(PeerCallHandler* handler);
+  // Retained answers are counted in `memory`.
+  PeerServer(PeerCallHandler* handler, ByteBudget* memory);
   ~PeerServer();
 
   void Accept(std::shared_ptr<TcpConnection> connection);
-  void Answer(const PeerCallKey& key, const CallResult& result);
+  void Answer(const PeerCallKey& key, CallResult result, TimePoint now);
   // Discards a finished call that needs no answer.
   void Forget(const PeerCallKey& key);
   // Sends the current load to all connected callers, which otherwise receive it
@@ -71,24 +79,36 @@
     // Platform state versions last sent to this caller.
     relay::View last_sent_view;
     // Encoded answers that the caller has not acknowledged.
-    std::map<uint64_t, std::string> answers;
+    std::map<uint64_t, HeldBytesPtr> answers;
     // Queued and running calls; the value tells whether they are idempotent.
     std::map<uint64_t, bool> running;
   };
 
   void OnHello(const std::shared_ptr<Session>& session,
                const relay::Hello& hello, TimePoint now);
-  void OnFrame(const std::shared_ptr<Session>& session,
-               const relay::Frame& frame, TimePoint now);
+  void OnFrame(const std::shared_ptr<Session>& session, relay::Frame* frame,
+               TimePoint now);
   void ForwardFrame(const std::shared_ptr<Session>& session,
                     const relay::Frame& frame, TimePoint now);
+  // A call was refused because memory is used up.
+  void OnSkippedCall(const std::shared_ptr<Session>& session, uint64_t id,
+                     TimePoint now);
   void OnSessionEnd(const std::shared_ptr<Session>& session, TimePoint now);
   void DropSession(const std::shared_ptr<Session>& session);
   void ResolveWaitingCalls(Caller* caller, uint64_t incarnation,
                            const relay::Hello& hello, TimePoint now);
   void CancelCalls(uint64_t incarnation, Caller* caller,
                    const std::function<bool(uint64_t)>& selects, TimePoint now);
-  void RetainAnswer(Caller* caller, uint64_t id, std::string frame);
+  void RetainAnswer(Caller* caller, uint64_t id, HeldBytesPtr frame);
+  void DiscardAnswer(Caller* caller, uint64_t id);
+  void DiscardAnswers(Caller* caller);
+  // Discards answers until the rest is within its limit.
+  void LimitRetainedAnswers(TimePoint now);
+  // The caller whose oldest answer is discarded next: one that has been without
+  // a connection for longest, otherwise the one with the most answers. Null if
+  // there are no answers.
+  Caller* CallerToDiscardFrom();
+  static bool IsDiscardedBefore(const Caller& one, const Caller& other);
 
   // Time without a connection after which a caller's calls are cancelled.
   static constexpr Duration kCallerDisconnectGrace = std::chrono::seconds(2);
@@ -104,6 +124,9 @@
   static constexpr size_t kMaxRetainedAnswers = 64;
 
   PeerCallHandler* m_handler;
+  ByteBudget* m_memory;
+  // Size of all retained answers.
+  size_t m_retained_bytes = 0;
   std::map<uint64_t, Caller> m_callers;
   std::map<Session*, std::shared_ptr<Session>> m_sessions;
 };
--- a/Source/relay/relay.cc
+++ b/Source/relay/relay.cc
@@ -49,7 +49,7 @@
       m_placement(settings.locality),
       m_executor(loop, settings.server, &m_settings.names, log, &m_metrics,
                  now),
-      m_peer_server(this),
+      m_peer_server(this, &loop->memory()),
       m_router(loop, &m_settings.names, settings.service, &m_placement, this,
                &m_executor, settings.retry_budget, log, &m_metrics,
                settings.incarnation),
@@ -60,12 +60,47 @@
           settings.incarnation, this, log) {
   m_executor.SetNoticeListener(
       [this](TimePoint later) { OnOwnServerNotice(later); });
+  m_callers = MakeSessionPool("callers", &m_router, m_caller_limits,
+                              settings.holding.callers);
+  m_health_clients = MakeSessionPool("health", m_health.get(), {},
+                                     settings.holding.health_clients);
+  m_loop->memory().SetCapacity(settings.holding.memory_bytes);
+  m_loop->memory().SetReclaimer(
+      [this](ByteUse use) { return ReclaimMemory(use, BootClock::now()); });
+}
+
+std::unique_ptr<HttpSessionPool> Relay::MakeSessionPool(
+    std::string_view listener, HttpRequestHandler* handler,
+    std::shared_ptr<const HttpServerLimits> http_limits,
+    const HttpSessionPool::Limits& limits) {
+  return std::make_unique<HttpSessionPool>(
+      m_loop, handler, std::move(http_limits), limits,
+      [this, listener = std::string(listener)](
+          std::string_view what, size_t connections, TimePoint now) {
+        m_log->Write(LogTopic::kRequest, what,
+                     {{"listener", listener},
+                      {"connections", std::to_string(connections)},
+                      {"held", std::to_string(m_loop->memory().used())},
+                      {"budget", std::to_string(m_loop->memory().capacity())}},
+                     now);
+      });
+}
+
+bool Relay::ReclaimMemory(ByteUse use, TimePoint now) {
+  const bool is_request =
+      use == ByteUse::kOrdinaryRequest || use == ByteUse::kLargeRequest;
+  for (HttpSessionPool* pool : {m_callers.get(), m_health_clients.get()}) {
+    if (is_request && pool->GiveUpStalledRequest(now)) return true;
+    if (pool->CloseStalledReader(now)) return true;
+  }
+  return false;
 }
 
 Relay::~Relay() {
   for (TimerId* timer : {&m_tick_timer, &m_expiry_timer, &m_stop_timer}) {
     m_loop->Cancel(timer);
   }
+  m_loop->memory().SetReclaimer(nullptr);
 }
 
 bool Relay::Start(std::string* reason) {
@@ -76,12 +111,11 @@
   const std::vector<ListenerSpec> specs = {
       {m_settings.health_listener,
        [this](std::shared_ptr<TcpConnection> connection, TimePoint now) {
-         HttpServerSession::Start(m_loop, std::move(connection), m_health.get(),
-                                  {}, now);
+         m_health_clients->Accept(std::move(connection), now);
        }},
       {m_settings.caller_listener,
        [this](std::shared_ptr<TcpConnection> connection, TimePoint now) {
-         AcceptCaller(std::move(connection), now);
+         m_callers->Accept(std::move(connection), now);
        }},
       {m_settings.peer_listener,
        [this](std::shared_ptr<TcpConnection> connection, TimePoint) {
@@ -105,12 +139,6 @@
 
 bool Relay::IsReady() const { return HasRoutesAndServers() && !m_stopped; }
 
-void Relay::AcceptCaller(std::shared_ptr<TcpConnection> connection,
-                         TimePoint now) {
-  m_caller_sessions.push_back(HttpServerSession::Start(
-      m_loop, std::move(connection), &m_router, m_caller_limits, now));
-}
-
 void Relay::ApplyConfig(const RelayConfig& config, TimePoint now) {
   if (config.version <= m_router.config_version()) return;
   m_log->Write(LogTopic::kFleetState, "config",
@@ -261,16 +289,16 @@
   return load;
 }
 
-void Relay::Call(const Candidate& server, const relay::Call& call, Done done,
+void Relay::Call(const Candidate& server, const CallMessage& message, Done done,
                  TimePoint now) {
   if (server.node != m_settings.peer_listener) {
-    ClientFor(server.node).Call(call, std::move(done), now);
+    ClientFor(server.node).Call(message, std::move(done), now);
     return;
   }
-  const uint64_t id = call.id();
+  const uint64_t id = message.call.id();
   m_own_calls[id] = 0;
   const CallExecutor::Handle handle = m_executor.Start(
-      call,
+      message,
       [this, id, done = std::move(done)](CallResult result, TimePoint later) {
         m_own_calls.erase(id);
         result.has_load = true;
@@ -292,20 +320,52 @@
   if (m_executor.Cancel(found->second, now)) m_own_calls.erase(call_id);
 }
 
-void Relay::OnPeerCall(const PeerCallKey& key, const relay::Call& call,
+void Relay::OnPeerCall(const PeerCallKey& key, CallMessage message,
                        TimePoint now) {
+  // The caller's node has decided by the size of the answer that it expects.
+  const ByteBudget& memory = m_loop->memory();
+  if (!memory.MayBeginRequest(true, true) ||
+      !memory.HasRoom(ByteUse::kOrdinaryRequest, 0)) {
+    OnPeerCallRefused(key, now);
+    CallResult refusal;
+    refusal.outcome = Outcome::kNotRun;
+    refusal.code = RefusalCode::kNoMemory;
+    m_peer_server.Answer(key, std::move(refusal), now);
+    return;
+  }
   m_peer_calls[key] = 0;
   const CallExecutor::Handle handle = m_executor.Start(
-      call,
-      [this, key](const CallResult& result, TimePoint) {
+      std::move(message),
+      [this, key](CallResult result, TimePoint later) {
         m_peer_calls.erase(key);
-        m_peer_server.Answer(key, result);
+        m_peer_server.Answer(key, std::move(result), later);
       },
       now);
   const auto found = m_peer_calls.find(key);
   if (found != m_peer_calls.end()) found->second = handle;
 }
 
+void Relay::OnPeerCallRefused(const PeerCallKey& key, TimePoint now) {
+  ++m_metrics.memory_refusals;
+  m_log->Write(
+      LogTopic::kRequest, "call-refused",
+      {{"caller", std::to_string(key.incarnation)},
+       {"call", std::to_string(key.id)},
+       {"reason", std::string(RefusalCodeName(RefusalCode::kNoMemory))},
+       {"held", std::to_string(m_loop->memory().used())},
+       {"budget", std::to_string(m_loop->memory().capacity())}},
+      now);
+}
+
+void Relay::OnAnswersDiscarded(size_t answers, TimePoint now) {
+  m_metrics.answers_discarded += answers;
+  m_log->Write(LogTopic::kRequest, "answers-discarded",
+               {{"answers", std::to_string(answers)},
+                {"held", std::to_string(m_loop->memory().used())},
+                {"budget", std::to_string(m_loop->memory().capacity())}},
+               now);
+}
+
 void Relay::OnPeerCancel(const PeerCallKey& key, TimePoint now) {
   const auto found = m_peer_calls.find(key);
   if (found == m_peer_calls.end()) return;
@@ -364,8 +424,8 @@
   for (const auto& [node, client] : m_clients) client->Tick(now);
   m_peer_server.Tick(now);
   m_fleet_state.Tick(now);
-  std::erase_if(m_caller_sessions,
-                [](const auto& session) { return session.expired(); });
+  m_callers->Tick(now);
+  m_health_clients->Tick(now);
   m_router.CheckConfirmation(now);
   const PeerLoad load = m_executor.Load();
   m_metrics.gauges["in_flight"] = load.in_flight;
@@ -378,18 +438,38 @@
   m_metrics.gauges["concurrency_limit"] = load.concurrency_limit;
   m_metrics.gauges["config_version"] =
       static_cast<double>(m_router.config_version());
-  m_metrics.gauges["unfinished_answer_bytes"] =
-      static_cast<double>(m_executor.UnfinishedAnswerBytes());
-  size_t held_bytes = 0;
-  for (const auto& weak : m_caller_sessions) {
-    if (const auto session = weak.lock()) held_bytes += session->HeldBytes();
-  }
-  m_metrics.gauges["held_response_bytes"] = static_cast<double>(held_bytes);
+  UpdateMemoryMetrics();
   m_metrics.gauges["log_lines_lost"] = static_cast<double>(m_log->lost());
   m_log->Flush();
   if (m_stopped) ContinueStop(now);
 }
 
+void Relay::UpdateMemoryMetrics() {
+  const ByteBudget& memory = m_loop->memory();
+  const auto set = [this](const char* name, size_t value) {
+    m_metrics.gauges[name] = static_cast<double>(value);
+  };
+  set("memory_budget_bytes", memory.capacity());
+  set("held_bytes", memory.used());
+  set("held_request_bytes", memory.used(ByteUse::kOrdinaryRequest) +
+                                memory.used(ByteUse::kLargeRequest));
+  set("held_output_bytes", memory.used(ByteUse::kOutput));
+  set("held_retained_bytes", memory.used(ByteUse::kRetainedAnswer));
+  set("held_peer_answer_bytes", memory.used(ByteUse::kPeerAnswer));
+  set("unfinished_answer_bytes", memory.used(ByteUse::kServerAnswer));
+  size_t held_responses = 0;
+  m_callers->ForEach([&held_responses](const HttpServerSession& session) {
+    held_responses += session.HeldBytes();
+  });
+  set("held_response_bytes", held_responses);
+  set("caller_connections", m_callers->size());
+  const HttpSessionPool::Counters& callers = m_callers->counters();
+  const HttpSessionPool::Counters& health = m_health_clients->counters();
+  m_metrics.stalled_requests =
+      callers.stalled_requests + health.stalled_requests;
+  m_metrics.stalled_readers = callers.stalled_readers + health.stalled_readers;
+}
+
 void Relay::Stop(std::function<void()> stopped, TimePoint now) {
   if (m_stopped) return;
   m_stopped = std::move(stopped);
@@ -405,9 +485,8 @@
 void Relay::ContinueStop(TimePoint now) {
   if (now < m_stop_plan->notice_end()) return;
   m_router.StartDraining();
-  for (const auto& weak : m_caller_sessions) {
-    if (const auto session = weak.lock()) session->CloseAfterResponse();
-  }
+  m_callers->ForEach(
+      [](HttpServerSession& session) { session.CloseAfterResponse(); });
   if (m_router.IsIdle() && m_executor.IsIdle()) FinishStop(true, now);
 }
 
--- a/Source/relay/relay.h
+++ b/Source/relay/relay.h
@@ -36,6 +36,17 @@
 
 namespace vanillatiller {
 
+// What the process may hold for others.
+struct HoldingLimits {
+  // Memory of all requests and answers, in bytes; see ByteBudget. The process
+  // needs as much again for the message that it is copying, for its own state
+  // and for what the allocator adds.
+  size_t memory_bytes = size_t{128} << 20;
+  // Connections of callers, and of clients of the health listener.
+  HttpSessionPool::Limits callers;
+  HttpSessionPool::Limits health_clients;
+};
+
 struct RelaySettings {
   std::string vm;
   std::string service;
@@ -53,6 +64,7 @@
   // comes before.
   Duration stop_grace = std::chrono::seconds(6);
   uint64_t incarnation = 0;
+  HoldingLimits holding;
   // Time without a sign of life after which the platform drops the record of a
   // server.
   Duration record_lifetime = std::chrono::seconds(6);
@@ -109,13 +121,15 @@
  private:
   class HealthHandler;
 
-  void Call(const Candidate& server, const relay::Call& call, Done done,
+  void Call(const Candidate& server, const CallMessage& message, Done done,
             TimePoint now) override;
   void Cancel(const SocketAddress& node, uint64_t call_id,
               TimePoint now) override;
 
-  void OnPeerCall(const PeerCallKey& key, const relay::Call& call,
+  void OnPeerCall(const PeerCallKey& key, CallMessage message,
                   TimePoint now) override;
+  void OnPeerCallRefused(const PeerCallKey& key, TimePoint now) override;
+  void OnAnswersDiscarded(size_t answers, TimePoint now) override;
   void OnPeerCancel(const PeerCallKey& key, TimePoint now) override;
   relay::Load Load() const override;
   relay::View View() const override;
@@ -142,7 +156,14 @@
   // The grace period is about to end: all that is open gets a final answer.
   void EndStop(TimePoint now);
   void FinishStop(bool is_idle, TimePoint now);
-  void AcceptCaller(std::shared_ptr<TcpConnection> connection, TimePoint now);
+  std::unique_ptr<HttpSessionPool> MakeSessionPool(
+      std::string_view listener, HttpRequestHandler* handler,
+      std::shared_ptr<const HttpServerLimits> http_limits,
+      const HttpSessionPool::Limits& limits);
+  // Releases bytes that are held for a client that makes no progress; false if
+  // there is none.
+  bool ReclaimMemory(ByteUse use, TimePoint now);
+  void UpdateMemoryMetrics();
   bool HasRoutesAndServers() const;
   bool IsReady() const;
 
@@ -167,10 +188,11 @@
   std::map<SocketAddress, std::unique_ptr<PeerClient>> m_clients;
   std::map<PeerCallKey, CallExecutor::Handle> m_peer_calls;
   std::map<uint64_t, CallExecutor::Handle> m_own_calls;
-  std::vector<std::weak_ptr<HttpServerSession>> m_caller_sessions;
   // Shared with all connections of callers, which follow its changes.
   const std::shared_ptr<HttpServerLimits> m_caller_limits =
       std::make_shared<HttpServerLimits>();
+  std::unique_ptr<HttpSessionPool> m_callers;
+  std::unique_ptr<HttpSessionPool> m_health_clients;
   FleetStateExchange m_fleet_state;
   bool m_has_servers = false;
   // ID and start time of the local server as last seen.
--- a/Source/relay/relay_metrics.cc
+++ b/Source/relay/relay_metrics.cc
@@ -57,6 +57,10 @@
   AppendCounter("retries_total", "", retries, &text);
   AppendCounter("retries_denied_total", "", retries_denied, &text);
   AppendCounter("callers_gone_total", "", callers_gone, &text);
+  AppendCounter("memory_refusals_total", "", memory_refusals, &text);
+  AppendCounter("answers_discarded_total", "", answers_discarded, &text);
+  AppendCounter("stalled_requests_total", "", stalled_requests, &text);
+  AppendCounter("stalled_readers_total", "", stalled_readers, &text);
   AppendCounter("requests_unconfirmed_total", "", requests_unconfirmed, &text);
   AppendCounter("platform_reads_total", "", platform_reads, &text);
   AppendCounter("platform_failures_total", "", platform_failures, &text);
--- a/Source/relay/relay_metrics.h
+++ b/Source/relay/relay_metrics.h
@@ -37,6 +37,14 @@
   uint64_t retries = 0;
   uint64_t retries_denied = 0;
   uint64_t callers_gone = 0;
+  // Requests and calls that were refused because memory was used up.
+  uint64_t memory_refusals = 0;
+  // Answers that were discarded for the same reason.
+  uint64_t answers_discarded = 0;
+  // What gave way to others: requests whose callers made no progress in sending
+  // them, and connections of callers that did not read their answers.
+  uint64_t stalled_requests = 0;
+  uint64_t stalled_readers = 0;
   // Requests that were decided by a configuration that may be outdated.
   uint64_t requests_unconfirmed = 0;
   uint64_t platform_reads = 0;
--- a/Source/relay/request_router.cc
+++ b/Source/relay/request_router.cc
@@ -25,6 +25,9 @@
 constexpr Duration kMaxEarlyWait = std::chrono::milliseconds(1000);
 // Divisor of the remaining time that gives a request's maximum wait for them.
 constexpr int kEarlyWaitDivisor = 4;
+// Usual time until memory for another request is free: a request that makes no
+// progress has given way by then.
+constexpr Duration kMemoryWait = std::chrono::milliseconds(1000);
 // Remaining time assumed for a request without the header field.
 constexpr Duration kDefaultTimeLeft = std::chrono::seconds(30);
 // Minimum remaining time for another attempt.
@@ -36,7 +39,9 @@
 struct RequestRouter::Request {
   HttpResponderPtr responder;
   std::string id;
+  // Without the body.
   HttpRequest http;
+  HeldBytesPtr body;
   std::shared_ptr<ActiveRoute> route;
   std::string service;
   // The configuration that selected the route, when it had been confirmed, and
@@ -66,6 +71,8 @@
   // The last attempt failed because a downstream service is overloaded.
   bool overload_below = false;
   Duration shortest_wait = Duration::max();
+  // Began although its answer may find no memory.
+  bool is_trial = false;
   // A server takes no more calls a second.
   bool is_rate_limited = false;
   // ID of the call in progress; 0 if there is none.
@@ -77,6 +84,9 @@
   TimePoint sent_at;
   // Last error response from a server.
   std::optional<HttpResponse> failure;
+  ByteCharge failure_charge;
+
+  size_t BodyBytes() const { return body ? body->size() : 0; }
 };
 
 RequestRouter::RequestRouter(EventLoop* loop, const ProtocolNames* names,
@@ -212,6 +222,9 @@
   http.headers.Remove(m_names->target_server);
   http.headers.Remove(m_names->calling_service);
   http.headers.Add(m_names->calling_service, m_own_service);
+  if (!http.body.empty()) {
+    request->body = responder->ShareBody(std::exchange(http.body, {}));
+  }
   request->http = std::move(http);
   request->timer = m_loop->Schedule(
       request->answer_deadline,
@@ -221,6 +234,11 @@
     Refuse(request, RefusalCode::kLeaving, kRestartTime, now);
     return;
   }
+  if (!ReserveAnswer(request, now)) {
+    ++m_metrics->memory_refusals;
+    Refuse(request, RefusalCode::kNoMemory, kMemoryWait, now);
+    return;
+  }
   if (request->parent_is_repeat) {
     RetryBudgetFor(request->service, now).RecordRetry(now);
   } else {
@@ -229,6 +247,38 @@
   SendToServer(request, now);
 }
 
+bool RequestRouter::ReserveAnswer(const RequestPtr& request, TimePoint now) {
+  const ByteBudget& memory = m_loop->memory();
+  const RelayRoute& route = request->route->route();
+  // The work of a parent call would be lost.
+  const bool is_urgent = request->rank == 0 || request->is_nested;
+  const bool is_small = m_call_averages.MeanKilobytes(route.name) * 1024 <=
+                        ByteBudget::kOrdinaryBytes;
+  if (memory.MayBeginRequest(is_urgent, is_small)) return true;
+  // The answers of a route differ in size. Nothing is lost if the answer of an
+  // idempotent request must be discarded.
+  const auto pause = m_trial_pauses.find(route.name);
+  const bool is_paused = pause != m_trial_pauses.end() && now < pause->second;
+  if (!route.idempotent || is_paused || m_trials >= kMaxTrials ||
+      !memory.MayBeginRequest(true, true)) {
+    // For those that come later.
+    memory.Reclaim(ByteUse::kOutput);
+    return false;
+  }
+  ++m_trials;
+  request->is_trial = true;
+  return true;
+}
+
+bool RequestRouter::CanHold(const HttpResponse& response) const {
+  const size_t bytes = response.body.size();
+  // For the decision only: the bytes are counted when they are queued.
+  ByteCharge charge(&m_loop->memory(), bytes <= ByteBudget::kOrdinaryBytes
+                                           ? ByteUse::kOutput
+                                           : ByteUse::kPeerAnswer);
+  return charge.TryResize(bytes);
+}
+
 bool RequestRouter::CanAnswerBeforeStop(const Request& request,
                                         TimePoint now) const {
   return !m_stop_plan ||
@@ -257,11 +307,12 @@
   request->quality = server->quality;
   request->sent_at = now;
   request->state->OnSent();
-  const relay::Call call = MakeCall(*request, *server, now);
-  request->call = call.id();
+  const CallMessage message = {MakeCall(*request, *server, now), request->body};
+  request->call = message.call.id();
   m_transport->Call(
-      *server, call,
-      [this, request, id = call.id()](CallResult result, TimePoint later) {
+      *server, message,
+      [this, request, id = message.call.id()](CallResult result,
+                                              TimePoint later) {
         if (request->call == id) OnResult(request, std::move(result), later);
       },
       now);
@@ -276,7 +327,6 @@
   call.set_method(request.http.method);
   call.set_target(request.http.target);
   EncodeHeaders(request.http.headers, call.mutable_headers());
-  call.set_body(request.http.body);
   const RelayRoute& route = request.route->route();
   call.set_time_left_us(ToMicroseconds(request.answer_deadline - now));
   call.set_idempotent(route.idempotent);
@@ -297,18 +347,32 @@
 void RequestRouter::OnResult(const RequestPtr& request, CallResult result,
                              TimePoint now) {
   request->call = 0;
+  if (result.outcome == Outcome::kComplete && !CanHold(result.response)) {
+    result.outcome = Outcome::kUnknown;
+    result.code = RefusalCode::kNoMemory;
+    result.response = {};
+  }
+  if (result.outcome == Outcome::kUnknown &&
+      result.code == RefusalCode::kNoMemory) {
+    ++m_metrics->answers_discarded;
+    m_trial_pauses[request->route->route().name] = now + kTrialPause;
+  }
   RecordResult(*request, result, now);
   switch (result.outcome) {
     case Outcome::kComplete:
       // The request ID is omitted between nodes; see ClassifyExchange().
       result.response.headers.Add(m_names->request_id, request->id);
       if (result.response.status >= kFirstServerError) {
+        request->failure_charge =
+            ByteCharge(&m_loop->memory(), ByteUse::kOutput);
+        request->failure_charge.Resize(result.response.body.capacity());
         request->failure = std::move(result.response);
         OnFailed(request, result, now);
         return;
       }
       if (request->is_nested) m_executor->OnNestedAnswered(request->id);
-      Answer(request, result.response, "answered", RefusalCode::kNone, now);
+      Answer(request, std::move(result.response), "answered",
+             RefusalCode::kNone, now);
       return;
     case Outcome::kNotRun:
       OnNotRun(request, result, now);
@@ -322,6 +386,11 @@
 void RequestRouter::RecordResult(const Request& request,
                                  const CallResult& result, TimePoint now) {
   PeerState& state = *request.state;
+  // This node had no memory for the answer, which says nothing of the other.
+  if (result.code == RefusalCode::kNoMemory && !result.has_load) {
+    state.OnAbandoned();
+    return;
+  }
   if (result.code == RefusalCode::kBackendUnreachable) {
     state.OnFailure(PeerFailure::kBackendDown, now);
     return;
@@ -334,9 +403,9 @@
   const bool was_served = result.outcome == Outcome::kComplete &&
                           result.response.status < kFirstServerError;
   if (was_served) {
-    const double relative_time = m_call_averages.Add(
-        request.route->route().name, now - request.sent_at,
-        request.http.body.size() + result.response.body.size());
+    const double relative_time =
+        m_call_averages.Add(request.route->route().name, now - request.sent_at,
+                            request.BodyBytes() + result.response.body.size());
     request.quality->OnSuccess(relative_time, now);
     return;
   }
@@ -385,7 +454,9 @@
   // If a nested call was refused, a retry would send the same calls to the
   // overloaded service again.
   request->overload_below = result.overload_below;
-  if (request->route->route().idempotent && !result.overload_below &&
+  const bool may_help =
+      !result.overload_below && result.code != RefusalCode::kNoMemory;
+  if (request->route->route().idempotent && may_help &&
       CanRetry(*request, now) && SpendRetry(*request, now)) {
     SendToServer(request, now);
     return;
@@ -400,7 +471,7 @@
     return;
   }
   if (request->failure) {
-    Answer(request, *request->failure, "server-failed", code, now);
+    Answer(request, *std::move(request->failure), "server-failed", code, now);
     return;
   }
   const int status =
@@ -482,7 +553,7 @@
   response.status = kUnavailable;
   AddRetryAfter(&response, wait, request->deadline - now,
                 request->route->route().objective);
-  Answer(request, response, "refused", code, now);
+  Answer(request, std::move(response), "refused", code, now);
 }
 
 void RequestRouter::AddRetryAfter(HttpResponse* response, Duration wait,
@@ -498,11 +569,10 @@
                          RefusalCode code, TimePoint now) {
   HttpResponse response;
   response.status = status;
-  Answer(request, response, "failed", code, now);
+  Answer(request, std::move(response), "failed", code, now);
 }
 
-void RequestRouter::Answer(const RequestPtr& request,
-                           const HttpResponse& response,
+void RequestRouter::Answer(const RequestPtr& request, HttpResponse response,
                            std::string_view decision, RefusalCode code,
                            TimePoint now) {
   ++m_metrics->answers[response.status];
@@ -534,7 +604,7 @@
     m_executor->OnNestedOverloaded(request->id);
   }
   if (m_draining) request->responder->CloseAfterResponse();
-  request->responder->Respond(response, now);
+  request->responder->Respond(std::move(response), now);
   RemoveRequest(request);
 }
 
@@ -556,6 +626,11 @@
   HttpResponse response;
   response.status = status;
   if (depends_on_limits) response = MakeDenial(status, headers, now);
+  if (status == kUnavailable) {
+    ++m_metrics->memory_refusals;
+    AddRetryAfter(&response, kMemoryWait, TimeLeft(headers, kDefaultTimeLeft),
+                  kMemoryWait);
+  }
   ++m_metrics->answers[response.status];
   m_log->Write(
       LogTopic::kRequest, "rejected",
@@ -590,6 +665,11 @@
 void RequestRouter::RemoveRequest(const RequestPtr& request) {
   m_loop->Cancel(&request->timer);
   m_requests.erase(request->responder.get());
+  if (std::exchange(request->is_trial, false)) --m_trials;
+  // A call that may not be cancelled refers to the request until it ends.
+  request->responder.reset();
+  request->body.reset();
+  request->http = {};
 }
 
 }  // namespace vanillatiller
--- a/Source/relay/request_router.h
+++ b/Source/relay/request_router.h
@@ -13,6 +13,7 @@
 #include "eventio/eventio.h"
 #include "relay/call_averages.h"
 #include "relay/call_executor.h"
+#include "relay/call_message.h"
 #include "relay/call_result.h"
 #include "relay/config_confirmation.h"
 #include "relay/event_log.h"
@@ -31,8 +32,8 @@
   using Done = std::function<void(CallResult, TimePoint now)>;
 
   virtual ~CallTransport() = default;
-  virtual void Call(const Candidate& server, const relay::Call& call, Done done,
-                    TimePoint now) = 0;
+  virtual void Call(const Candidate& server, const CallMessage& message,
+                    Done done, TimePoint now) = 0;
   virtual void Cancel(const SocketAddress& node, uint64_t call_id,
                       TimePoint now) = 0;
 };
@@ -49,6 +50,7 @@
   ~RequestRouter() override;
 
   void SetRoutes(std::shared_ptr<const RouteTable> routes) {
+    m_trial_pauses.clear();
     m_routes = std::move(routes);
   }
   // See ConfigConfirmation.
@@ -119,6 +121,11 @@
   void EndWithFailure(const RequestPtr& request, RefusalCode code,
                       TimePoint now);
   bool CanRetry(const Request& request, TimePoint now) const;
+  // Whether the request may begin, as far as memory for its answer is
+  // concerned.
+  bool ReserveAnswer(const RequestPtr& request, TimePoint now);
+  // Whether the answer can be held until the caller has read it.
+  bool CanHold(const HttpResponse& response) const;
   // Whether a planned stop leaves enough time to answer the request.
   bool CanAnswerBeforeStop(const Request& request, TimePoint now) const;
   // Cancels the call in progress, if any; the request may have run.
@@ -135,7 +142,7 @@
                      Duration objective);
   void Fail(const RequestPtr& request, int status, RefusalCode code,
             TimePoint now);
-  void Answer(const RequestPtr& request, const HttpResponse& response,
+  void Answer(const RequestPtr& request, HttpResponse response,
               std::string_view decision, RefusalCode code, TimePoint now);
   void RespondUnrouted(const HttpResponderPtr& responder,
                        const HttpRequest& request, TimePoint now);
@@ -150,6 +157,11 @@
   // Maximum number of servers tried for one request. Each costs a round trip,
   // and after a few refusals the load is likely to be the same everywhere.
   static constexpr size_t kMaxPlacements = 4;
+  // Requests that are in progress at most while large answers use up their
+  // memory, and that may turn out to have large answers, too.
+  static constexpr size_t kMaxTrials = 8;
+  // Time without trials of a route after an answer has been discarded.
+  static constexpr Duration kTrialPause = std::chrono::milliseconds(100);
   // Maximum number of queued early requests, which bounds their memory.
   static constexpr size_t kMaxEarlyRequests = 256;
 
@@ -177,6 +189,10 @@
   std::map<HttpResponder*, RequestPtr> m_requests;
   std::map<std::string, std::unique_ptr<WindowBudget>> m_budgets;
   CallAverages m_call_averages;
+  // Number of requests with `is_trial`.
+  size_t m_trials = 0;
+  // Time until which a route has no trials, by its name.
+  std::map<std::string, TimePoint, std::less<>> m_trial_pauses;
 };
 
 }  // namespace vanillatiller
--- a/Tests/call_outcome_test.cc
+++ b/Tests/call_outcome_test.cc
@@ -156,10 +156,11 @@
 // Records the calls of a PeerServer.
 class FakeCallHandler : public PeerCallHandler {
  public:
-  void OnPeerCall(const PeerCallKey& key, const relay::Call&,
-                  TimePoint) override {
+  void OnPeerCall(const PeerCallKey& key, CallMessage, TimePoint) override {
     calls.push_back(key);
   }
+  void OnPeerCallRefused(const PeerCallKey&, TimePoint) override {}
+  void OnAnswersDiscarded(size_t, TimePoint) override {}
   void OnPeerCancel(const PeerCallKey&, TimePoint) override { ++cancels; }
   relay::Load Load() const override { return {}; }
   relay::View View() const override { return {}; }
@@ -178,7 +179,7 @@
 BOOST_AUTO_TEST_CASE(DiscardedAnswersLeaveTheOutcomeUnknown) {
   EventLoop loop;
   FakeCallHandler handler;
-  PeerServer server(&handler);
+  PeerServer server(&handler, &loop.memory());
   const SocketAddress address = {"127.0.0.1", FreeLoopbackPort()};
   std::string reason;
   const auto listener = TcpListener::Listen(
@@ -202,7 +203,7 @@
   }));
   CallResult result;
   result.outcome = Outcome::kComplete;
-  server.Answer(handler.calls.front(), result);
+  server.Answer(handler.calls.front(), result, BootClock::now());
   server.Tick(BootClock::now() + std::chrono::hours(23));
   RawPeer second(&loop, address);
   BOOST_TEST_REQUIRE(RunUntil(&loop, [&] { return second.is_up; }));
--- a/Tests/eventio_test.cc
+++ b/Tests/eventio_test.cc
@@ -234,10 +234,11 @@
       EventLoop loop;
       StreamingServer server(&loop, {item.head + item.endless, item.endless},
                              true);
-      ByteBudget budget(size_t{60} << 10);
+      // Answers that are being read may take a quarter of it.
+      loop.memory().SetCapacity(size_t{240} << 10);
       auto session = std::make_shared<HttpClientSession>(
           &loop, server.address, "Test-Id",
-          HttpReader::Limits{size_t{64} << 10, size_t{1} << 20, &budget});
+          HttpReader::Limits{size_t{64} << 10, size_t{1} << 20});
       HttpRequest request;
       request.method = "GET";
       request.target = "/";
@@ -258,7 +259,7 @@
       // The limits, and what the sockets hold.
       BOOST_TEST(server.sent_bytes < size_t{8} << 20);
       session.reset();
-      BOOST_TEST(budget.used() == 0U);
+      BOOST_TEST(loop.memory().used(ByteUse::kServerAnswer) == 0U);
     }
   }
 }
--- a/Tests/late_answer_test.cc
+++ b/Tests/late_answer_test.cc
@@ -200,7 +200,8 @@
       header->set_value(std::to_string(id));
       std::optional<CallResult> result;
       executor.Start(
-          call, [&](CallResult got, TimePoint) { result = std::move(got); },
+          {call, nullptr},
+          [&](CallResult got, TimePoint) { result = std::move(got); },
           BootClock::now());
       RC_ASSERT(RunUntil(&loop, [&] { return result.has_value(); }));
       RC_ASSERT(server.arrivals.size() == server.behaviors.size());
--- a/Tests/platform/hostile_client_test.cc
+++ b/Tests/platform/hostile_client_test.cc
@@ -167,11 +167,19 @@
         return false;
       },
       kHoldTime);
+  for (size_t i = 0; i < NodeProcesses::kNodes; ++i) {
+    BOOST_TEST_MESSAGE("node " << i << ": "
+                               << nodes.Metric(i, "vanillatiller_held_bytes") /
+                                      1e6
+                               << " MB counted, " << nodes.MemoryMb(i)
+                               << " MB resident");
+  }
   // The crowd still holds its connections.
   BOOST_TEST(nodes.Request(0, "GET", "/many/ordinary", "", kServedTimeout) ==
              200);
   BOOST_TEST(nodes.Request(0, "POST", "/once/ordinary", "b", kServedTimeout) ==
              200);
+  CheckLargestRequest(&nodes, limits);
   CheckRefusals(nodes, crowd, clients);
   clients.clear();
   BOOST_TEST(nodes.Request(0, "GET", "/many/after", "", kServedTimeout) == 200);
--- a/Utilities/fuzz/fuzz_http_session.cc
+++ b/Utilities/fuzz/fuzz_http_session.cc
@@ -15,11 +15,15 @@
 namespace {
 
 using vanillatiller::ByteBudget;
+using vanillatiller::ByteCharge;
+using vanillatiller::ByteUse;
 using vanillatiller::HttpReader;
 using vanillatiller::ParsedMessage;
 
 constexpr size_t kMaxHeaderBytes = 512;
 constexpr size_t kMaxBodyBytes = 1024;
+// Memory of the largest head and body: a list of fields of a few bytes each.
+constexpr size_t kMaxMemory = size_t{64} << 10;
 
 void Require(bool condition) {
   if (!condition) std::abort();
@@ -28,9 +32,10 @@
 // Returns the messages read, and the end, as text.
 std::vector<std::string> ReadAll(HttpReader::Kind kind, std::string_view input,
                                  size_t piece) {
-  ByteBudget budget(kMaxBodyBytes);
+  ByteBudget budget(kMaxMemory);
   std::vector<std::string> messages;
-  HttpReader reader(kind, {kMaxHeaderBytes, kMaxBodyBytes, &budget});
+  HttpReader reader(kind, {kMaxHeaderBytes, kMaxBodyBytes},
+                    ByteCharge(&budget, ByteUse::kServerAnswer));
   while (!input.empty()) {
     std::string_view data = input.substr(0, piece);
     input.remove_prefix(data.size());
@@ -49,10 +54,11 @@
         }
         case HttpReader::Result::kError:
         case HttpReader::Result::kTooLarge:
+        case HttpReader::Result::kNoMemory:
           messages.emplace_back("refused");
           return messages;
       }
-      Require(budget.used() <= kMaxBodyBytes);
+      Require(budget.used() <= kMaxMemory);
     }
   }
   return messages;
