Eventio, Relay: Limit the connections of callers

What callers saw: clients that open connections and send nothing, or half a head, took all descriptors of the process that max_fds of the VM allows. Without descriptors a node reaches no other node, no server and no store.

Cause: every connection was accepted, and only the idle and header time-outs of the configuration ended it.

Ruled out: a longer accept queue and a pause in accepting (new callers of a ready node would hang), and a refusal with a status before anything has been read (no request waits for it).

Change: HttpSessionPool keeps the connections of a listener up to a number. At the limit the connection that has been idle for longest gives way, then a request that makes no progress, then a client that does not read; if there is none, the new connection is closed before anything has been read, after which a caller may send its request again. Connections that only wait for their client to close count until they are gone, and go first.

Default: half of max_fds for callers (2,050 of 4,100), set by [holding] connections; 64 for health checks. The rest is for nodes, the server, the store and files.

Tests: byte_budget_test: IdleConnectionsGiveWay; platform_test: DerivesHoldingLimits.

--- a/Source/eventio/http_session_pool.cc
+++ b/Source/eventio/http_session_pool.cc
@@ -22,6 +22,18 @@
   return chosen;
 }
 
+std::optional<size_t> ChooseIdleConnection(
+    std::span<const HttpConnectionStatus> connections) {
+  std::optional<size_t> chosen;
+  for (size_t i = 0; i < connections.size(); ++i) {
+    if (connections[i].activity != Activity::kIdle) continue;
+    if (!chosen || connections[i].since < connections[*chosen].since) {
+      chosen = i;
+    }
+  }
+  return chosen;
+}
+
 HttpSessionPool::HttpSessionPool(
     EventLoop* loop, HttpRequestHandler* handler,
     std::shared_ptr<const HttpServerLimits> http_limits, const Limits& limits,
@@ -34,12 +46,45 @@
 
 void HttpSessionPool::Accept(std::shared_ptr<TcpConnection> connection,
                              TimePoint now) {
+  if (m_members.size() >= m_limits.max_connections && !MakeRoom(now)) {
+    ++m_counters.refused_connections;
+    m_report("connection-refused", m_members.size(), now);
+    connection->Close();
+    return;
+  }
   Member& member = m_members.emplace_back();
   member.connection = connection;
   member.session = HttpServerSession::Start(m_loop, std::move(connection),
                                             m_handler, m_http_limits, now);
 }
 
+bool HttpSessionPool::MakeRoom(TimePoint now) {
+  RemoveEnded();
+  return m_members.size() < m_limits.max_connections || CloseLingering() ||
+         CloseIdle(now) || GiveUpStalledRequest(now) || CloseStalledReader(now);
+}
+
+bool HttpSessionPool::CloseLingering() {
+  for (const Member& member : m_members) {
+    const auto connection = member.connection.lock();
+    if (!connection || !connection->IsLingering()) continue;
+    connection->Close();
+    return true;
+  }
+  return false;
+}
+
+bool HttpSessionPool::CloseIdle(TimePoint now) {
+  std::vector<HttpConnectionStatus> states;
+  const auto sessions = OpenSessions(&states);
+  const auto chosen = ChooseIdleConnection(states);
+  if (!chosen) return false;
+  sessions[*chosen]->Drop(now);
+  ++m_counters.idle_connections;
+  m_report("idle-connection-closed", m_members.size(), now);
+  return true;
+}
+
 bool HttpSessionPool::GiveUpStalledRequest(TimePoint now) {
   const auto session =
       FindStalled(Activity::kReading, m_limits.stall_time, now);
--- a/Source/eventio/http_session_pool.h
+++ b/Source/eventio/http_session_pool.h
@@ -25,12 +25,19 @@
     HttpConnectionStatus::Activity activity, Duration stall_time,
     TimePoint now);
 
-// The connections of one listener.
+// Returns the connection that gives way to a new one: the one that has been
+// idle for longest. Nullopt if none is idle.
+std::optional<size_t> ChooseIdleConnection(
+    std::span<const HttpConnectionStatus> connections);
+
+// The connections of one listener, up to a number.
 class HttpSessionPool {
  public:
   struct Limits {
+    // Connections that are open at the same time.
+    size_t max_connections = 2048;
     // Time without progress after which a request that is being received gives
-    // way to others, if these need its memory.
+    // way to others, if these need its memory or its connection.
     Duration stall_time = std::chrono::seconds(1);
     // Time without progress after which a client that does not read its answers
     // gives way to others, if these need the memory.
@@ -41,6 +48,8 @@
   struct Counters {
     uint64_t stalled_requests = 0;
     uint64_t stalled_readers = 0;
+    uint64_t idle_connections = 0;
+    uint64_t refused_connections = 0;
   };
 
   // Reports what was given up, for logging: what, and the connections now.
@@ -52,7 +61,8 @@
                   std::shared_ptr<const HttpServerLimits> http_limits,
                   const Limits& limits, Report report);
 
-  // Starts a session on the connection.
+  // Starts a session on the connection. At the limit, another connection gives
+  // way; if none can, the new one is closed before anything has been read.
   void Accept(std::shared_ptr<TcpConnection> connection, TimePoint now);
   // Gives up one stalled request; false if there is none.
   bool GiveUpStalledRequest(TimePoint now);
@@ -75,6 +85,9 @@
   };
 
   void RemoveEnded();
+  bool MakeRoom(TimePoint now);
+  bool CloseLingering();
+  bool CloseIdle(TimePoint now);
   // Returns the sessions that are open, and their states in the same order.
   std::vector<std::shared_ptr<HttpServerSession>> OpenSessions(
       std::vector<HttpConnectionStatus>* states) const;
--- a/Source/relay/relay.cc
+++ b/Source/relay/relay.cc
@@ -468,6 +468,10 @@
   m_metrics.stalled_requests =
       callers.stalled_requests + health.stalled_requests;
   m_metrics.stalled_readers = callers.stalled_readers + health.stalled_readers;
+  m_metrics.idle_connections_closed =
+      callers.idle_connections + health.idle_connections;
+  m_metrics.connections_refused =
+      callers.refused_connections + health.refused_connections;
 }
 
 void Relay::Stop(std::function<void()> stopped, TimePoint now) {
--- a/Source/relay/relay.h
+++ b/Source/relay/relay.h
@@ -44,7 +44,7 @@
   size_t memory_bytes = size_t{128} << 20;
   // Connections of callers, and of clients of the health listener.
   HttpSessionPool::Limits callers;
-  HttpSessionPool::Limits health_clients;
+  HttpSessionPool::Limits health_clients = {64, std::chrono::seconds(1)};
 };
 
 struct RelaySettings {
--- a/Source/relay/relay_metrics.cc
+++ b/Source/relay/relay_metrics.cc
@@ -61,6 +61,9 @@
   AppendCounter("answers_discarded_total", "", answers_discarded, &text);
   AppendCounter("stalled_requests_total", "", stalled_requests, &text);
   AppendCounter("stalled_readers_total", "", stalled_readers, &text);
+  AppendCounter("idle_connections_closed_total", "", idle_connections_closed,
+                &text);
+  AppendCounter("connections_refused_total", "", connections_refused, &text);
   AppendCounter("requests_unconfirmed_total", "", requests_unconfirmed, &text);
   AppendCounter("platform_reads_total", "", platform_reads, &text);
   AppendCounter("platform_failures_total", "", platform_failures, &text);
--- a/Source/relay/relay_metrics.h
+++ b/Source/relay/relay_metrics.h
@@ -42,9 +42,12 @@
   // Answers that were discarded for the same reason.
   uint64_t answers_discarded = 0;
   // What gave way to others: requests whose callers made no progress in sending
-  // them, and connections of callers that did not read their answers.
+  // them, connections of callers that did not read their answers, idle ones,
+  // and new ones.
   uint64_t stalled_requests = 0;
   uint64_t stalled_readers = 0;
+  uint64_t idle_connections_closed = 0;
+  uint64_t connections_refused = 0;
   // Requests that were decided by a configuration that may be outdated.
   uint64_t requests_unconfirmed = 0;
   uint64_t platform_reads = 0;
--- a/Tests/byte_budget_test.cc
+++ b/Tests/byte_budget_test.cc
@@ -195,6 +195,34 @@
   }
 }
 
+// A new connection takes the place of the one that has been idle for longest.
+BOOST_AUTO_TEST_CASE(IdleConnectionsGiveWay) {
+  struct Case {
+    const char* what;
+    std::vector<HttpConnectionStatus> connections;
+    std::optional<size_t> chosen;
+  };
+  const Case cases[] = {
+      {"none", {}, std::nullopt},
+      {"none idle",
+       {{Activity::kReading, At(0), 10},
+        {Activity::kSending, At(0), 10},
+        {Activity::kBusy, At(0), 0}},
+       std::nullopt},
+      {"the longest",
+       {{Activity::kBusy, At(0), 0},
+        {Activity::kIdle, At(7), 0},
+        {Activity::kIdle, At(3), 0},
+        {Activity::kIdle, At(5), 0}},
+       2},
+  };
+  for (const Case& item : cases) {
+    BOOST_TEST_CONTEXT(item.what) {
+      BOOST_TEST((ChooseIdleConnection(item.connections) == item.chosen));
+    }
+  }
+}
+
 relay::Frame LargeCall(uint64_t id, size_t bytes) {
   relay::Frame frame;
   frame.mutable_call()->set_id(id);
--- a/Tests/platform/platform_test.cc
+++ b/Tests/platform/platform_test.cc
@@ -89,6 +89,50 @@
 [{"service":"work","weight":90},{"service":"rest","weight":10}],
 "timeout_ms":1500,"max_attempts":3}}]}],"clusters":[]})";
 
+// What may be held for callers follows from the limits of the VM, unless it is
+// set. A value that cannot be meant is an error if it is our own, and ignored
+// if it is the platform's.
+BOOST_AUTO_TEST_CASE(DerivesHoldingLimits) {
+  struct Case {
+    const char* what;
+    std::string text;
+    size_t findings;
+    size_t memory_mib;
+    size_t connections;
+    int stall_ms;
+  };
+  const Case cases[] = {
+      {"no limits", "", 0, 128, 2048, 1000},
+      {"limits of the VM", "[limits]\nmemory_mb = 260\nmax_fds = 4100\n", 0,
+       130, 2050, 1000},
+      {"limits that cannot be read",
+       "[limits]\nmemory_mb = \"\"\nmax_fds = -1\n", 0, 128, 2048, 1000},
+      {"own limits",
+       "[limits]\nmemory_mb = 260\n[holding]\nbudget_mb = 40\n"
+       "connections = 100\nstall_ms = 500\n",
+       0, 40, 100, 500},
+      {"own limits out of range",
+       "[holding]\nbudget_mb = 1\nconnections = 0\nstall_ms = 0\n", 3, 0, 0, 0},
+      {"more than the VM has",
+       "[limits]\nmemory_mb = 260\n[holding]\nbudget_mb = 300\n", 1, 0, 0, 0},
+      {"unknown field", "[holding]\nbudget = 40\n", 1, 0, 0, 0},
+  };
+  for (const Case& item : cases) {
+    BOOST_TEST_CONTEXT(item.what) {
+      Findings findings;
+      const auto settings =
+          ParseNodeSettings(kSettings + item.text, "node.toml", &findings);
+      BOOST_TEST(findings.size() == item.findings);
+      BOOST_TEST_REQUIRE(settings.has_value() == (item.findings == 0));
+      if (!settings) continue;
+      const HoldingLimits& holding = settings->relay.holding;
+      BOOST_TEST(holding.memory_bytes == item.memory_mib << 20);
+      BOOST_TEST(holding.callers.max_connections == item.connections);
+      BOOST_TEST((holding.callers.stall_time == milliseconds(item.stall_ms)));
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(DecodesTheConfiguration) {
   std::string reason;
   const auto config = DecodeConfig(kConfig, &reason);
