Http, Node: Limit the bodies and connections that vanillatillerd holds

A chunked body without end was read without any limit, as cpp-httplib compares only an announced length with max_body_bytes; many bodies had no bound together; a body beyond the limit was refused after all of it had been read; and each connection that sent nothing kept a thread for seconds, so that ordinary callers waited behind a crowd.

Ruled out: another HTTP library, and a smaller max_http_threads (bodies are not bounded by it, and ordinary callers wait longer).

Change: bodies are read by the listener (BodyReader) and counted in one MemoryBudget, announced ones before they are read. A refused request gets 413, or 503 with Retry-After, and its connection closes once the client has had time to read that. HttpConnection reads for cpp-httplib: a client that makes no progress for a second is given up while others wait for its thread or its memory. At most two connections for each thread are open; further ones are closed before anything has been read. Large blocks are returned to the system, as each thread's arena kept them.

Settings: limits.max_held_body_bytes, 32 MiB, at least twice max_body_bytes. Metrics: held_body_bytes, bodies_refused_total, connections_refused_total.

The answer 413 names its reason now as all other refusals do, which request_path_test: RefusesBadInput expects instead of none.

--- a/Source/node/http_listener.h
+++ b/Source/node/http_listener.h
@@ -1,6 +1,8 @@
 #ifndef VANILLATILLER_SOURCE_NODE_HTTP_LISTENER_H_
 #define VANILLATILLER_SOURCE_NODE_HTTP_LISTENER_H_
 
+#include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -12,11 +14,14 @@
 namespace vanillatiller {
 
 class HttpServer;
+class MemoryBudget;
 
 // An HTTP listener of a node: public, local or admin.
 class HttpListener {
  public:
-  HttpListener(const ListenAddress& address, const NodeSettings& settings);
+  // Bodies are counted in `held_bodies`.
+  HttpListener(const ListenAddress& address, const NodeSettings& settings,
+               MemoryBudget* held_bodies);
   ~HttpListener();
 
   // Serves POST /SERVICE/METHOD through `pipeline`.
@@ -31,9 +36,13 @@
   bool Start();
   // Stops accepting connections and finishes the requests in progress.
   void Stop();
+  // Connections that were closed because too many were open.
+  uint64_t refused_connections() const;
 
  private:
   const ListenAddress m_address;
+  const size_t m_max_body_bytes;
+  MemoryBudget* m_held_bodies;
   std::unique_ptr<HttpServer> m_server;
   std::thread m_thread;
 };
--- a/Source/node/main.cc
+++ b/Source/node/main.cc
@@ -1,5 +1,6 @@
 // vanillatillerd: the node daemon that runs beside each backend server.
 
+#include <malloc.h>
 #include <pthread.h>
 #include <signal.h>
 
@@ -22,6 +23,9 @@
 namespace {
 
 constexpr int kExitUsage = 2;
+// Blocks of at least this size, such as bodies, are returned to the system as
+// soon as they are freed; otherwise each thread's arena would keep them.
+constexpr int kMmapThresholdBytes = 128 << 10;
 
 std::optional<NodeSettings> LoadSettings(const std::string& path) {
   std::ifstream file(path);
@@ -46,6 +50,7 @@
   sigaddset(&signals, SIGINT);
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
   signal(SIGPIPE, SIG_IGN);
+  mallopt(M_MMAP_THRESHOLD, kMmapThresholdBytes);
 
   InitLogging(absl::GetFlag(FLAGS_verbose) ? LogLevel::kDebug : LogLevel::kInfo,
               settings.vm);
--- a/Source/node/node.cc
+++ b/Source/node/node.cc
@@ -59,11 +59,12 @@
                  std::make_shared<FleetConfigValidator>()}),
       m_report({m_settings, m_view, m_callee, m_entry, m_control, *m_metrics,
                 m_incarnation}),
+      m_held_bodies(m_settings.max_held_body_bytes),
       m_peer_service(m_settings, m_callee, m_entry, m_control),
       m_operator_service({m_report, RequestStop}),
-      m_public_front(m_settings.public_listener, m_settings),
-      m_local_front(m_settings.local_listener, m_settings),
-      m_admin_front(m_settings.admin_listener, m_settings),
+      m_public_front(m_settings.public_listener, m_settings, &m_held_bodies),
+      m_local_front(m_settings.local_listener, m_settings, &m_held_bodies),
+      m_admin_front(m_settings.admin_listener, m_settings, &m_held_bodies),
       m_admission_ticker(kAdmissionTickInterval,
                          [this](TimePoint now) { TickAdmission(now); }),
       m_threshold_ticker(kThresholdTickInterval, [this](TimePoint now) {
@@ -74,8 +75,23 @@
   m_local_front.ServeCalls(m_entry, /*is_local=*/true);
   m_admin_front.ServeText("/status", "application/json",
                           [this] { return *m_report.Render("summary"); });
-  m_admin_front.ServeText("/metrics", "text/plain; version=0.0.4",
-                          [this] { return m_report.RenderMetrics(); });
+  m_admin_front.ServeText("/metrics", "text/plain; version=0.0.4", [this] {
+    return m_report.RenderMetrics() + RenderHeldBodies();
+  });
+}
+
+std::string Node::RenderHeldBodies() const {
+  const uint64_t refused_connections = m_public_front.refused_connections() +
+                                       m_local_front.refused_connections() +
+                                       m_admin_front.refused_connections();
+  const auto metric = [](const char* name, const char* type, uint64_t value) {
+    const std::string full = std::string("vanillatiller_") + name;
+    return "# TYPE " + full + " " + type + "\n" + full + " " +
+           std::to_string(value) + "\n";
+  };
+  return metric("held_body_bytes", "gauge", m_held_bodies.used()) +
+         metric("bodies_refused_total", "counter", m_held_bodies.refusals()) +
+         metric("connections_refused_total", "counter", refused_connections);
 }
 
 Node::~Node() {
--- a/Source/node/node.h
+++ b/Source/node/node.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <string>
 
+#include "http/http.h"
 #include "metrics/metrics.h"
 #include "node/active_calls.h"
 #include "node/callee.h"
@@ -43,6 +44,8 @@
  private:
   void TickAdmission(TimePoint now);
   void WaitUntilIdle();
+  // Metrics of what is held for clients, in the Prometheus text format.
+  std::string RenderHeldBodies() const;
 
   const NodeSettings m_settings;
   const Incarnation m_incarnation;
@@ -57,6 +60,7 @@
   RequestPipeline m_entry;
   ControlPlane m_control;
   StatusReport m_report;
+  MemoryBudget m_held_bodies;
   PeerService m_peer_service;
   OperatorService m_operator_service;
   HttpListener m_public_front;
--- a/Source/node/settings.cc
+++ b/Source/node/settings.cc
@@ -26,6 +26,9 @@
                          {"random", RoutingPolicy::kRandom}}};
 
 constexpr int64_t kMaxBodyBytes = 64 << 20;
+constexpr int64_t kMaxHeldBodyBytes = int64_t{1} << 40;
+// Bodies of the largest size that fit into what is held at least.
+constexpr size_t kHeldLargestBodies = 2;
 constexpr int64_t kMaxHttpThreads = 16384;
 
 bool IsIpAddress(const std::string& text) {
@@ -106,9 +109,13 @@
       m_reader.ReadString(*tls, "ca", &settings->certificates.ca);
     }
     if (const toml::table* limits = root["limits"].as_table()) {
-      m_reader.CheckFields(*limits, {"max_body_bytes", "max_http_threads"});
+      m_reader.CheckFields(*limits, {"max_body_bytes", "max_held_body_bytes",
+                                     "max_http_threads"});
       m_reader.ReadInteger(*limits, "max_body_bytes", 1, kMaxBodyBytes,
                            &settings->max_body_bytes);
+      m_reader.ReadInteger(*limits, "max_held_body_bytes", 1, kMaxHeldBodyBytes,
+                           &settings->max_held_body_bytes);
+      CheckHeldBodies(*limits, settings);
       m_reader.ReadInteger(*limits, "max_http_threads", 1, kMaxHttpThreads,
                            &settings->max_http_threads);
     }
@@ -123,6 +130,18 @@
     }
   }
 
+  void CheckHeldBodies(const toml::table& limits, NodeSettings* settings) {
+    const size_t least = kHeldLargestBodies * settings->max_body_bytes;
+    if (settings->max_held_body_bytes >= least) return;
+    if (const toml::node* set = limits.get("max_held_body_bytes")) {
+      m_reader.Report(set->source(),
+                      "field \"max_held_body_bytes\": expected at least " +
+                          std::to_string(kHeldLargestBodies) +
+                          " times max_body_bytes, " + std::to_string(least));
+    }
+    settings->max_held_body_bytes = least;
+  }
+
   // Without certificates, peers are not authenticated, so the peer listener
   // must be on loopback unless the operator sets allow_plaintext.
   void CheckPeerListener(const toml::table& root,
--- a/Source/node/settings.h
+++ b/Source/node/settings.h
@@ -51,6 +51,9 @@
 
   // Maximum body size of a request or an answer, in bytes.
   size_t max_body_bytes = 1 << 20;
+  // Bodies of all requests and answers that are held for clients at the same
+  // time, in bytes. The process may need four times as much.
+  size_t max_held_body_bytes = 32 << 20;
   // Maximum number of threads per HTTP listener.
   size_t max_http_threads = 1024;
 
--- a/Tests/request_path_test.cc
+++ b/Tests/request_path_test.cc
@@ -94,7 +94,7 @@
       {"/permits/nothing", {}, 2, 404, "unknown-method"},
       {"/permits/show", {{"X-Vt-Timeout-Ms", "-1"}}, 2, 400, "bad-request"},
       {"/permits/show", {{"X-Vt-Timeout-Ms", "1e9"}}, 2, 400, "bad-request"},
-      {"/permits/show", {}, (1 << 20) + 1, 413, ""},
+      {"/permits/show", {}, (1 << 20) + 1, 413, "too-large"},
   };
   for (const RefusalCase& entry : cases) {
     const auto result = fleet.Post(0, entry.path, entry.headers,
