Eventio, Relay, Node: A status outside of HTTP is no answer

What callers saw: a server in trouble answers with status 000. If its answer ended with the connection, callers got "HTTP/1.1 000" as an answer; with a length or in chunks it was taken for an interim response, and the caller got 504 at the end of its time instead of 502 at once. Statuses from 600 to 999 were passed on.

Cause: the parser accepts any three digits, and each place compared a number: below 200 was interim in HttpClientSession, 500 and above a failure in RequestRouter, the end of a connection completed whatever had been read, and numbers from other nodes were not checked at all. vanillatillerd passed on what its HTTP client had parsed.

Change: base/http_status.h says what is a status (100 to 599) and what ends a request (200 to 599). A response with another one is unreadable from its head on, an answer of another node with another one is an unknown outcome; the same in vanillatillerd.

--- a/Source/base/base.h
+++ b/Source/base/base.h
@@ -8,6 +8,7 @@
 #include "base/clock.h"         // IWYU pragma: export
 #include "base/finding.h"       // IWYU pragma: export
 #include "base/hash.h"          // IWYU pragma: export
+#include "base/http_status.h"   // IWYU pragma: export
 #include "base/identifiers.h"   // IWYU pragma: export
 #include "base/log_line.h"      // IWYU pragma: export
 #include "base/reason.h"        // IWYU pragma: export
--- a/Source/eventio/http_client_session.cc
+++ b/Source/eventio/http_client_session.cc
@@ -10,8 +10,6 @@
 namespace vanillatiller {
 namespace {
 
-constexpr int kFirstFinalStatus = 200;
-
 uint32_t HashId(std::string_view id) {
   return static_cast<uint32_t>(HashBytes(id));
 }
@@ -124,7 +122,7 @@
 
 bool HttpClientSession::HandleResponse(bool more_data, TimePoint now) {
   ParsedMessage message = m_reader.Take();
-  const bool is_interim = message.status < kFirstFinalStatus;
+  const bool is_interim = !IsFinalHttpStatus(message.status);
   const Match match = is_interim ? Match::kOther : MatchResponse(message);
   if (match == Match::kUnknown) {
     Fail(ExchangeEnd::kNoAnswer, now);
--- a/Source/eventio/http_reader.cc
+++ b/Source/eventio/http_reader.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "base/base.h"
+
 namespace vanillatiller {
 namespace {
 
@@ -205,6 +207,10 @@
           : "";
   self->m_message.status = static_cast<int>(parser->status_code);
   if (!AreNamesValid(self->m_message.headers)) return kAbort;
+  if (self->m_kind == Kind::kResponses &&
+      !IsHttpStatus(self->m_message.status)) {
+    return kAbort;
+  }
   if (self->m_no_body) return 1;
   const bool is_announced = (parser->flags & F_CONTENTLENGTH) != 0;
   return self->ReserveBody(is_announced ? parser->content_length : 0) ? 0
--- a/Source/eventio/http_reader.h
+++ b/Source/eventio/http_reader.h
@@ -29,7 +29,8 @@
 };
 
 // Strict incremental parser for the HTTP/1.1 messages of one connection. A
-// message whose framing is ambiguous between parsers is an error. Parsing
+// message whose framing is ambiguous between parsers is an error, and so is a
+// response whose status is not one of the protocol, from 100 to 599. Parsing
 // stops after each message. The memory of a message is counted as it grows: of
 // a body that is announced as soon as its head has been read, of others in
 // growing steps. A response whose framing takes more bytes than its
--- a/Source/node/backend_client.cc
+++ b/Source/node/backend_client.cc
@@ -26,6 +26,11 @@
       response.has_header("X-Vt-Shed")) {
     return NotRun(RefusalCode::kBackendRefused, "backend server shed the call");
   }
+  if (!IsFinalHttpStatus(response.status)) {
+    return UnknownOutcome(
+        RefusalCode::kIncompleteAnswer,
+        "backend server: status " + std::to_string(response.status));
+  }
   CallAnswer answer;
   answer.outcome = Outcome::kComplete;
   answer.status = response.status;
--- a/Source/node/call_answer.cc
+++ b/Source/node/call_answer.cc
@@ -74,6 +74,11 @@
   }
   CallAnswer answer;
   answer.outcome = FromWire(message.outcome());
+  if (answer.outcome == Outcome::kComplete &&
+      !IsFinalHttpStatus(message.status())) {
+    return UnknownOutcome(RefusalCode::kIncompleteAnswer,
+                          "answer has no status of the protocol");
+  }
   answer.reason = {RefusalFromWire(message.refusal()), message.reason()};
   answer.refused_by = message.refused_by();
   answer.status = message.status();
--- a/Source/relay/call_result.cc
+++ b/Source/relay/call_result.cc
@@ -88,6 +88,11 @@
   result.code = answer->reason() <= static_cast<uint32_t>(kLastRefusalCode)
                     ? static_cast<RefusalCode>(answer->reason())
                     : RefusalCode::kNone;
+  if (result.outcome == Outcome::kComplete &&
+      !IsFinalHttpStatus(answer->status())) {
+    result.outcome = Outcome::kUnknown;
+    result.code = RefusalCode::kIncompleteAnswer;
+  }
   result.response.status = static_cast<int>(answer->status());
   result.response.headers = DecodeHeaders(answer->headers());
   result.response.body = std::move(*answer->mutable_body());
