--- a/Tests/relay_harness.cc
+++ b/Tests/relay_harness.cc
@@ -168,6 +168,12 @@
   }
 }
 
+size_t FakeServer::EndHeldRequests() {
+  const auto held = std::exchange(m_held, {});
+  for (const auto& [session, id] : held) session->Abort();
+  return held.size();
+}
+
 void FakeServer::AnswerOk(const HttpResponderPtr& session,
                           const std::string& id, TimePoint now) {
   HttpResponse response;
--- a/Tests/relay_harness.h
+++ b/Tests/relay_harness.h
@@ -62,6 +62,9 @@
   // Responds to all held requests with 200, or with 500.
   void ReleaseHeldRequests(TimePoint now);
   void FailHeldRequests(TimePoint now);
+  // Ends as a server that crashes: the connections of held requests close.
+  // Returns their number.
+  size_t EndHeldRequests();
 
   // Received requests, in order, and IDs of held requests whose caller
   // disconnected.
