Eventio, Relay: Keep the connection that a request is being read from

What callers saw: a process could end. A client that asks for a large answer, does not read it for five seconds and asks again on the same connection, while answers use up their memory, is the reader that gives way; its connection was dropped while its own request was being handed to the router, which then answered a request that was gone. The same when the answer to the second request was the one that needed the memory.

Change: a connection does not give way while one of its requests is being handed over; a request whose connection gave way for its answer ends there. An answer for which a node had no memory says nothing of its server's quality, also if that node told its load.

--- a/Source/eventio/http_server_session.cc
+++ b/Source/eventio/http_server_session.cc
@@ -272,10 +272,11 @@
   ReleaseConnection();
 }
 
-void HttpServerSession::Drop(TimePoint now) {
-  if (!m_connection) return;
+bool HttpServerSession::Drop(TimePoint now) {
+  if (!m_connection || m_is_processing) return false;
   m_connection->Close();
   OnEnd(ConnectionEnd::kFailed, now);
+  return true;
 }
 
 void HttpServerSession::OnEnd(ConnectionEnd, TimePoint now) {
--- a/Source/eventio/http_server_session.h
+++ b/Source/eventio/http_server_session.h
@@ -129,8 +129,10 @@
   void CloseAfterResponse();
   // Closes the connection without a response.
   void Abort();
-  // The same, and reports it as if the caller had disconnected.
-  void Drop(TimePoint now);
+  // The same, and reports it as if the caller had disconnected. Returns false,
+  // and does nothing, while a request of the connection is being handed to the
+  // handler, which would not expect that.
+  bool Drop(TimePoint now);
 
   // Gives up a request of which a part has been received: answers it with 408,
   // and closes the connection. Returns false if there is none.
--- a/Source/eventio/http_session_pool.cc
+++ b/Source/eventio/http_session_pool.cc
@@ -78,8 +78,7 @@
   std::vector<HttpConnectionStatus> states;
   const auto sessions = OpenSessions(&states);
   const auto chosen = ChooseIdleConnection(states);
-  if (!chosen) return false;
-  sessions[*chosen]->Drop(now);
+  if (!chosen || !sessions[*chosen]->Drop(now)) return false;
   ++m_counters.idle_connections;
   m_report("idle-connection-closed", m_members.size(), now);
   return true;
@@ -97,8 +96,7 @@
 bool HttpSessionPool::CloseStalledReader(TimePoint now) {
   const auto session =
       FindStalled(Activity::kSending, m_limits.read_stall_time, now);
-  if (!session) return false;
-  session->Drop(now);
+  if (!session || !session->Drop(now)) return false;
   ++m_counters.stalled_readers;
   m_report("stalled-reader-closed", m_members.size(), now);
   return true;
--- a/Source/relay/request_router.cc
+++ b/Source/relay/request_router.cc
@@ -358,6 +358,8 @@
     m_trial_pauses[request->route->route().name] = now + kTrialPause;
   }
   RecordResult(*request, result, now);
+  // The connection of the request may have given way for its answer.
+  if (!request->responder) return;
   switch (result.outcome) {
     case Outcome::kComplete:
       // The request ID is omitted between nodes; see ClassifyExchange().
@@ -412,6 +414,8 @@
   // Refusals by the server's node indicate load, not poor quality.
   const bool is_servers_failure = result.outcome != Outcome::kNotRun ||
                                   result.code == RefusalCode::kBackendRefused;
+  // A node had no memory for the answer.
+  if (result.code == RefusalCode::kNoMemory) return;
   if (is_servers_failure && !result.overload_below) {
     request.quality->OnFailure(now);
   }
--- a/Tests/relay_harness.cc
+++ b/Tests/relay_harness.cc
@@ -140,8 +140,8 @@
     m_held[session] = id;
     return;
   }
-  if (target.ends_with("/ok")) {
-    AnswerOk(session, id, now);
+  if (target.ends_with("/ok") || target.ends_with("/large")) {
+    AnswerOk(session, id, now, target.ends_with("/ok") ? 0 : kLargeBodyBytes);
     return;
   }
   HttpResponse response;
@@ -175,12 +175,14 @@
 }
 
 void FakeServer::AnswerOk(const HttpResponderPtr& session,
-                          const std::string& id, TimePoint now) {
+                          const std::string& id, TimePoint now,
+                          size_t body_bytes) {
   HttpResponse response;
   response.status = 200;
   response.headers.Add("Test-Id", id);
   response.headers.Add("Test-Digest", "digest-" + id);
   response.body = "body-" + id;
+  if (body_bytes > 0) response.body.assign(body_bytes, 'b');
   Answer(session, std::move(response), now);
 }
 
--- a/Tests/relay_harness.h
+++ b/Tests/relay_harness.h
@@ -41,8 +41,9 @@
 ProtocolNames TestNames();
 
 // Fake backend server. The end of the path selects its behavior: /ok responds
-// with 200, /hold waits for ReleaseHeldRequests(), /shed refuses the request as
-// not run, and /fail responds with 500.
+// with 200, /large with 200 and a body of kLargeBodyBytes, /hold waits for
+// ReleaseHeldRequests(), /shed refuses the request as not run, and /fail
+// responds with 500.
 class FakeServer : public HttpRequestHandler {
  public:
   struct Arrival {
@@ -51,6 +52,8 @@
     TimePoint at;
   };
 
+  static constexpr size_t kLargeBodyBytes = size_t{4} << 20;
+
   // Listens at 127.0.0.1.
   FakeServer(EventLoop* loop, uint16_t port);
   FakeServer(EventLoop* loop, const SocketAddress& address);
@@ -76,7 +79,7 @@
 
  private:
   void AnswerOk(const HttpResponderPtr& session, const std::string& id,
-                TimePoint now);
+                TimePoint now, size_t body_bytes = 0);
   void Answer(const HttpResponderPtr& session, HttpResponse response,
               TimePoint now);
 
