Tests: The reader that gives way is the one whose answer needs the memory

The second case of slow_reader_test runs where the answer is read from the server by the node of the caller, and memory is short for small answers, too.

--- a/Tests/slow_reader_test.cc
+++ b/Tests/slow_reader_test.cc
@@ -48,11 +48,11 @@
        {Case{"for the request", true}, Case{"for the answer", false}}) {
     BOOST_TEST_CONTEXT(item.what) {
       RelayPair pair;
-      pair.front_settings.holding.callers.read_stall_time = milliseconds(300);
-      pair.RestartFront();
-      pair.ApplyTestConfig(pair.front.get());
+      pair.back_settings.holding.callers.read_stall_time = milliseconds(300);
+      pair.RestartBack();
       ByteBudget& memory = pair.loop.memory();
-      PausedClient client(&pair.loop, pair.front_settings.caller_listener);
+      // The calls of this node run on the server beside it.
+      PausedClient client(&pair.loop, pair.back_settings.caller_listener);
       BOOST_TEST_REQUIRE(
           RunUntil(&pair.loop, [&] { return client.IsConnected(); }));
       // Idempotent requests are processed concurrently.
@@ -62,7 +62,7 @@
                memory.used(ByteUse::kOutput) > 0;
       }));
       const auto make_short = [&memory] {
-        memory.SetCapacity(memory.used(ByteUse::kOutput));
+        memory.SetCapacity(memory.used(ByteUse::kOutput) / 2);
       };
       if (item.before_request) {
         RunFor(&pair.loop, milliseconds(700));
@@ -78,7 +78,7 @@
       }
       RunFor(&pair.loop, milliseconds(300));
       memory.SetCapacity(size_t{128} << 20);
-      const auto after = pair.Send("/many/ok", "after");
+      const auto after = pair.SendFromServer("/many/ok", "after");
       BOOST_TEST_REQUIRE(RunUntil(&pair.loop, [&] { return after->is_over; }));
       BOOST_TEST(after->result.response.status == 200);
       pair.front.reset();
