--- a/Source/http/http_connection.cc
+++ b/Source/http/http_connection.cc
@@ -34,15 +34,16 @@
   sockaddr_storage address{};
   socklen_t length = sizeof(address);
   auto* generic = reinterpret_cast<sockaddr*>(&address);
-  std::array<char, NI_MAXHOST> host{};
-  std::array<char, NI_MAXSERV> service{};
+  std::array<char, NI_MAXHOST> ip_text{};
+  std::array<char, NI_MAXSERV> port_text{};
   if (read(socket, generic, &length) != 0 ||
-      getnameinfo(generic, length, host.data(), host.size(), service.data(),
-                  service.size(), NI_NUMERICHOST | NI_NUMERICSERV) != 0) {
+      getnameinfo(generic, length, ip_text.data(), ip_text.size(),
+                  port_text.data(), port_text.size(),
+                  NI_NUMERICHOST | NI_NUMERICSERV) != 0) {
     return;
   }
-  *ip = host.data();
-  *port = std::atoi(service.data());
+  *ip = ip_text.data();
+  *port = std::atoi(port_text.data());
 }
 
 }  // namespace
