--- a/Source/relay/frame_stream.cc
+++ b/Source/relay/frame_stream.cc
@@ -105,8 +105,8 @@
   if (m_buffer.size() < kLengthBytes + kIdPrefixBytes) {
     return Result::kNeedsMore;
   }
-  const std::string_view start =
-      std::string_view(m_buffer).substr(kLengthBytes);
+  std::string_view start = m_buffer;
+  start.remove_prefix(kLengthBytes);
   if (!IsRefusable(start)) {
     m_buffer.reserve(kLengthBytes + length);
     CountBuffer();
--- a/Tests/answer_status_test.cc
+++ b/Tests/answer_status_test.cc
@@ -19,7 +19,7 @@
     std::string reason;
     m_listener = TcpListener::Listen(
         loop, address,
-        [this](std::shared_ptr<TcpConnection> connection, TimePoint) {
+        [this](const std::shared_ptr<TcpConnection>& connection, TimePoint) {
           m_callers.push_back(std::make_unique<Caller>(this, connection));
         },
         &reason);
--- a/Tests/byte_budget_test.cc
+++ b/Tests/byte_budget_test.cc
@@ -156,7 +156,9 @@
     }
     charges.clear();
     RC_ASSERT(budget.used() == 0U);
-    for (const ByteUse use : kUses) RC_ASSERT(budget.used(use) == 0U);
+    for (const ByteUse use : kUses) {
+      RC_ASSERT(budget.used(use) == 0U);
+    }
   }));
 }
 
